--- /dev/null
+++ b/fawnspool/__init__.py
@@ -0,0 +1,1 @@
+"""Fair I/O scheduling for heads that share storage nodes."""
--- /dev/null
+++ b/fawnspool/adapter/__init__.py
@@ -0,0 +1,1 @@
+"""The decisions behind the simulator's wire."""
--- /dev/null
+++ b/fawnspool/adapter/settings.py
@@ -0,0 +1,111 @@
+"""The settings text of the wire, read into the project's own Settings."""
+from __future__ import annotations
+
+from fawnspool.interface import Effect, Group, Plan, RequestClass, Settings
+
+_EFFECTS = {"free": Effect.SAFE, "guarded": Effect.KEYED, "single_shot": Effect.UNSAFE}
+
+
+class SettingsError(Exception):
+    """A needed setting is missing or does not read; the text names it."""
+
+
+class _Pairs:
+    """The path=value pairs, each read as the kind that the caller needs."""
+
+    def __init__(self, text: str) -> None:
+        self.pairs = dict(line.split("=", 1) for line in text.splitlines() if "=" in line)
+
+    def text(self, path: str, default: str | None = None) -> str:
+        value = self.pairs.get(path, default)
+        if value is None:
+            raise SettingsError(f"setting {path} is missing")
+        return value
+
+    def number(self, path: str, default: float | None = None) -> float:
+        raw = self.text(path, None if default is None else str(default))
+        try:
+            return float(raw)
+        except ValueError:
+            raise SettingsError(f"setting {path} is not a number: {raw!r}") from None
+
+    def whole(self, path: str, default: int | None = None) -> int:
+        return int(self.number(path, default))
+
+    def flag(self, path: str, default: bool | None = None) -> bool:
+        raw = self.text(path, None if default is None else str(default).lower())
+        if raw not in ("true", "false"):
+            raise SettingsError(f"setting {path} is neither true nor false: {raw!r}")
+        return raw == "true"
+
+    def names(self, path: str) -> tuple[str, ...]:
+        return tuple(v for v in self.text(path, "").split(",") if v)
+
+
+def read_settings(text: str) -> Settings:
+    """Settings of one head; unknown keys are ignored."""
+    p = _Pairs(text)
+    writes = p.names("family_info.writes")
+    return Settings(
+        classes=tuple(_request_class(p, k, writes) for k in range(p.whole("classes.count"))),
+        plans=tuple(_plan(p, k) for k in range(p.whole("grades.count"))),
+        heads=p.whole("siblings"), me=p.whole("me"), zone=p.whole("zone", 0),
+        must_ask=p.text("discovery", "push") == "ask",
+        must_ask_in=p.number("guarantees.must_ask_in", 0.0),
+        drain_grace=p.number("guarantees.drain_grace"),
+        answer_slack=p.number("guarantees.answer_slack", 0.0),
+        fall=p.number("guarantees.fall"), fall_multiple=p.number("guarantees.tip_multiple"),
+        cold_capacity=p.number("guarantees.start_capacity"),
+        warm_after=p.number("guarantees.warm_after"),
+        young_limit=p.number("family_info.young_limit"),
+        mean_units=p.number("family_info.usual_units"),
+        largest_units=p.number("family_info.largest"),
+        cells=p.whole("family_info.slots_total"),
+        share_worth=p.number("family_info.fair_worth"),
+        spare_worth=p.number("family_info.spare_worth"),
+        meter=p.number("family_info.meter", 0.0),
+        tells_others=p.flag("family_info.says_others", False),
+        try_limit=p.whole("limits.try_limit"),
+        second_copies=p.flag("limits.second_copies", False),
+        may_cancel=p.flag("limits.cancelling", False),
+        may_probe=p.flag("limits.may_probe", False),
+        peers=p.flag("limits.peers", False),
+        retry_after=p.flag("limits.retry_after", False),
+        max_retry_after=p.number("limits.max_retry_after", 0.0),
+        connect_timeout=p.number("limits.connect_timeout", 0.0),
+        tick=p.number("tick"),
+        extra_free=p.number("guarantees.extra_free", 0.0) if _budgeted(p) else None,
+        extra_ratio=p.number("guarantees.repeat_ratio", 0.0),
+        extra_span=p.number("guarantees.budget_span", 0.0),
+        settle_after_doubt=p.number("guarantees.settle_after_doubt", 0.0),
+        load_fields=p.names("load_report.fields"),
+    )
+
+
+def _budgeted(p: _Pairs) -> bool:
+    return "guarantees.extra_free" in p.pairs or "guarantees.repeat_ratio" in p.pairs
+
+
+def _request_class(p: _Pairs, k: int, writes: tuple[str, ...]) -> RequestClass:
+    at = f"classes.{k}."
+    effect = p.text(at + "repeat")
+    if effect not in _EFFECTS:
+        raise SettingsError(f"setting {at}repeat is unknown: {effect!r}")
+    group = p.text(at + "group", "all")
+    if group not in Group._value2member_map_:
+        raise SettingsError(f"setting {at}group is unknown: {group!r}")
+    return RequestClass(
+        name=p.text(at + "name", str(k)), aim=p.number(at + "aim"), deadline=p.number(at + "deadline"),
+        worth=p.number(at + "value"), late_worth=p.number(at + "late_value", 0.0),
+        effect=_EFFECTS[effect], group=Group(group), window=p.number(at + "window", 0.0),
+        writes=k < len(writes) and writes[k] == "true", stream=p.flag(at + "stream", False),
+        ordered=p.flag(at + "fifo_by_key", False))
+
+
+def _plan(p: _Pairs, k: int) -> Plan:
+    at = f"grades.{k}."
+    return Plan(
+        name=p.text(at + "name", str(k)), rate=p.number(at + "rate"),
+        reserve=p.number(at + "floor_rate", 0.0), weight=p.number(at + "shares"),
+        worth_factor=p.number(at + "value_factor"), limit=p.number(at + "cap", 0.0),
+        limit_depth=p.number(at + "cap_depth", 0.0), limit_slack=p.number(at + "tolerance", 0.0))
--- /dev/null
+++ b/fawnspool/control.py
@@ -0,0 +1,635 @@
+"""Every decision of a head, in one module. Its types, events and actions: fawnspool/interface.py.
+
+Ordinary path: at each node a FIFO and a start tag per volume; the smallest tag leaves next; a completion
+moves the volume's tag on by its mean response over its plan's weight. All else here is a guard around
+that path: which requests wait, which are turned away, and what the seven rules ask.
+"""
+from __future__ import annotations
+
+from collections import OrderedDict, deque
+from dataclasses import dataclass, field
+from random import Random
+
+from fawnspool.interface import (
+    Action, Begun, Cancel, ClientGone, Effect, Event, Fail, FetchList, Group, ListEntry, ListKind, Log,
+    NodeList, Outcome, Phase, Plan, Refuse, Request, RequestClass, Result, Send, SetTimer, Settings,
+    Timer, Watch,
+)
+
+RECENT = 16              # responses in a volume's mean (the paper's N): long enough to smooth one pause
+RUN_LIMIT = 12           # requests of one extent in a row: longer runs would shut out other volumes
+TARGET_SHARE = 0.5       # part of the least aim that a response at a node may take: the rest waits here
+GAIN = 0.1               # smoothing of the node's mean response and of its bound, per completion
+PULL = 0.2               # requests by which a bound seeks more room at each step (PARDA's beta)
+BOUND_MOST = 16.0        # requests out at one node from one head, at most: beyond it only queues grow
+START_BOUND = 2.0        # requests out at a node that has told nothing yet: one to run, one to follow
+TICKS_PER_AIM = 8        # looks at all queues within the least aim: a late look costs an eighth of it
+TRIAL_S = 0.25           # first pause before a node that failed is tried again, seconds; doubles
+TRIAL_MOST_S = 1.0       # longest such pause, seconds: a returned node is found within it
+SILENT_AIMS = 1.5        # least aims without any answer, with work out, before suspicion
+SILENT_MEANS = 3.0       # and mean responses, too: slow is not dead
+IDLE_S = 30.0            # a volume unheard for this long loses its place in the tables, seconds
+VOLUMES_MOST = 4096      # volumes remembered, whatever comes
+
+
+@dataclass(slots=True, eq=False)
+class _Attempt:
+    node: int
+    sent: float
+    open: bool = True
+    maybe_ran: bool = True
+
+
+@dataclass(slots=True, eq=False)
+class _Job:
+    """A request that this head has taken."""
+
+    req: Request
+    cls: RequestClass
+    plan: Plan
+    came: float
+    ends: float                 # when its client gives up
+    wanted: float               # until when it earns its full worth
+    rank: int                   # 0 in its volume's reserve, 1 beyond it, 2 late whatever we do
+    cell: int = -1
+    held: bool = False
+    over: bool = False
+    tries: list[_Attempt] = field(default_factory=list)
+
+
+@dataclass(slots=True, eq=False)
+class _Volume:
+    """What a head knows of one volume over all nodes."""
+
+    level: float = 0.0          # limit's bucket, this head's part; empty at start: an earlier life may
+    filled: float = 0.0         # have drawn it
+    reserve: float = 0.0
+    mine: float = 0.0           # units a second served here, smoothed
+    served: float = 0.0
+    part: float = 0.0           # share of the volume's use that came through this head
+
+
+@dataclass(slots=True, eq=False)
+class _Flow:
+    """A volume at one node."""
+
+    weight: float
+    queue: deque[_Job] = field(default_factory=deque)
+    tag: float = 0.0
+    out: int = 0
+    recent: deque[float] = field(default_factory=lambda: deque(maxlen=RECENT))
+    used: float = 0.0
+
+
+@dataclass(slots=True, eq=False)
+class _Lane:
+    """A cell and the node that serves it now; its queues outlive a change of node."""
+
+    cell: int
+    node: int | None = None
+    flows: OrderedDict[int, _Flow] = field(default_factory=OrderedDict)
+    bound: float = START_BOUND
+    response: float = 0.0       # mean, seconds
+    out: dict[tuple[int, int], float] = field(default_factory=dict)   # attempts out, when sent
+    extent: tuple[int, int] = (0, 0)                                  # volume and extent sent last
+    run: int = 0
+    heard: float = 0.0          # last answer, or the send after an idle time
+    failed: int = 0             # bad signs in a row; over 0: only trials
+    trial_at: float = 0.0
+    born: float | None = None   # latest time at which the node may have started cold; None: long ago
+    away: float = 0.0           # when it last began to fail
+    fed: deque[tuple[float, float]] = field(default_factory=deque)    # sends while cold: time, units
+
+    def held(self) -> int:
+        return sum(len(flow.queue) for flow in self.flows.values())
+
+
+class Controller:
+    """One head's decisions. handle() is all: the same events give the same actions."""
+
+    def __init__(self, settings: Settings, seed: int) -> None:
+        self.s = settings
+        self.random = Random(seed)
+        self.now = 0.0
+        self.acts: list[Action] = []
+        self.jobs: dict[int, _Job] = {}
+        self.lanes: dict[int, _Lane] = {}
+        self.nodes: dict[int, ListEntry] = {}
+        self.volumes: OrderedDict[int, _Volume] = OrderedDict()
+        self.keys: dict[int, deque[_Job]] = {}          # ordered classes: jobs of a key in their order
+        self.settling: dict[int, float] = {}            # keys that wait after a doubtful end
+        self.taken: deque[float] = deque()              # for the attempt budget
+        self.extras: deque[float] = deque()
+        self.least_aim = min(c.aim for c in settings.classes)
+        self.look = self.least_aim / TICKS_PER_AIM
+        self.ticking = False
+        self.ask_at: float | None = None
+        self.unsure = False         # only a saved list so far
+
+    def handle(self, now: float, event: Event) -> list[Action]:
+        self.now = now
+        self.acts = []
+        match event:
+            case NodeList():
+                self._on_list(event)
+            case Request():
+                self._on_request(event)
+            case Outcome():
+                self._on_outcome(event)
+            case ClientGone():
+                if job := self.jobs.get(event.id):
+                    self._over(job)
+            case Timer():
+                self._on_look()
+            case Begun():
+                for lane in (x for x in self.lanes.values() if x.node == event.node):
+                    self._alive(lane)
+        return self.acts
+
+    # ---------------------------------------------------------------- node list
+
+    def _on_list(self, event: NodeList) -> None:
+        saved = event.kind is ListKind.SAVED
+        if event.kind is ListKind.FAILED:
+            # Re-asked well inside must_ask_in, each head after a pause of its own: all at once are all late.
+            self.ask_at = self.now + self.random.uniform(0.3, 0.6) * max(self.s.must_ask_in / 8, self.look)
+            return self._tick()
+        if event.kind is not ListKind.CHANGES:
+            self.nodes = {}
+        for entry in event.entries:
+            if entry.phase is Phase.GONE:
+                self.nodes.pop(entry.node, None)
+            else:
+                self.nodes[entry.node] = entry
+        if saved:
+            # A fresh head's list may be old: ask at once, and until an answer take every node for cold.
+            self.acts.append(Watch(True) if self.s.must_ask else FetchList())
+        ready: dict[int, ListEntry] = {}
+        for entry in self.nodes.values():
+            old = ready.get(entry.cell)
+            newer = old is None or (entry.started, entry.node) > (old.started, old.node)
+            if entry.phase is Phase.READY and newer:
+                ready[entry.cell] = entry
+        for cell in sorted(set(ready) | set(self.lanes)):
+            lane = self.lanes.setdefault(cell, _Lane(cell))
+            now_ready = ready.get(cell)
+            self._seat(lane, now_ready.node if now_ready else None)
+            if now_ready is not None:
+                self._age(lane, now_ready.started, saved)
+        self.unsure = saved
+        self._dispatch_all()
+
+    def _seat(self, lane: _Lane, node: int | None) -> None:
+        """Another node (or none) serves the cell from now on: nothing of the old one holds for it."""
+        if node == lane.node:
+            return
+        lane.node, lane.bound, lane.response, lane.failed, lane.born = node, START_BOUND, 0.0, 0, None
+        lane.out, lane.extent, lane.heard = {}, (0, 0), self.now
+        for flow in lane.flows.values():
+            flow.out = 0
+            flow.recent.clear()
+
+    def _age(self, lane: _Lane, started: float, saved: bool) -> None:
+        """Since when the node may be cold. A saved list proves nothing; a live one settles it, except for
+        a node that was away: it may have restarted since, until the list tells of a later start."""
+        young = started > 0 and self.now - started < self.s.warm_after + self.s.fall
+        if saved:
+            lane.born = self.now
+        elif self.unsure or lane.born is None or started >= lane.away:
+            lane.born = started if young else None
+
+    # ----------------------------------------------------------------- requests
+
+    def _on_request(self, req: Request) -> None:
+        cls, plan = self.s.classes[req.cls], self.s.plans[req.plan]
+        spent = max(0.0, cls.deadline - req.patience) if req.repeat else 0.0
+        job = _Job(req, cls, plan, self.now, self.now + req.patience, self.now + cls.aim - spent, 1)
+        self.jobs[req.id] = job
+        if self.s.extra_free is not None:
+            self.taken.append(self.now)
+        if self._ordered(job):
+            self.keys.setdefault(req.extent, deque()).append(job)
+        volume = self._volume(job)
+        if job.wanted <= self.now + self.look:
+            job.rank = 2
+        elif plan.reserve and volume.reserve >= req.units:
+            volume.reserve -= req.units
+            job.rank = 0
+        if plan.limit and self._limit_wait(job, volume) > job.wanted - self.now:
+            return self._end(job)   # beyond its limit: earns nothing, so it costs nothing either
+        lane = self.lanes.get(req.cell) if req.cell >= 0 else self._place(job)
+        if lane is None:
+            return self._end(job)
+        self._hold(job, lane)
+        self._turn(lane)
+        self._tick()
+
+    def _volume(self, job: _Job) -> _Volume:
+        """The volume's state, its buckets filled up to now."""
+        volume = self.volumes.get(job.req.volume)
+        if volume is None:
+            volume = self.volumes[job.req.volume] = _Volume(filled=self.now, served=self.now)
+            volume.reserve = job.plan.reserve / max(1, job.req.heads) + self.s.largest_units
+            while len(self.volumes) > VOLUMES_MOST:
+                self.volumes.popitem(last=False)
+        self.volumes.move_to_end(job.req.volume)
+        heads, plan = max(1, job.req.heads), job.plan
+        passed = self.now - volume.filled
+        volume.level = min(plan.limit_depth / heads, volume.level + passed * plan.limit / heads)
+        fill = max(volume.part, 1 / heads) * plan.reserve
+        volume.reserve = min(fill + self.s.largest_units, volume.reserve + passed * fill)
+        volume.filled = self.now
+        return volume
+
+    def _limit_wait(self, job: _Job, volume: _Volume) -> float:
+        """Seconds until this head's part of the limit covers the job, after what it holds of the volume."""
+        ahead = sum(j.req.units for lane in self.lanes.values() if job.req.volume in lane.flows
+                    for j in lane.flows[job.req.volume].queue if not j.tries)
+        return (ahead + job.req.units - volume.level) * max(1, job.req.heads) / job.plan.limit
+
+    def _place(self, job: _Job) -> _Lane | None:
+        """A node for a new object: the better of two drawn ones, so that heads do not herd."""
+        there = [x for x in self.lanes.values() if x.node is not None]
+        well = [x for x in there if not x.failed]
+        fit = [x for x in well if x.born is None] or well or there
+        if len(fit) > 2:
+            fit = self.random.sample(fit, 2)
+        return min(fit, key=lambda x: (self._wait(x), x.cell), default=None)
+
+    def _wait(self, lane: _Lane) -> float:
+        """Expected time to an answer for one more request at the end of this node's queues."""
+        return self._response(lane) * (1 + (len(lane.out) + lane.held()) / lane.bound)
+
+    def _hold(self, job: _Job, lane: _Lane, front: bool = False) -> None:
+        flow = lane.flows.setdefault(job.req.volume, _Flow(job.plan.weight))
+        if not flow.queue and not flow.out:
+            flow.tag = max(flow.tag, self.now)
+        job.cell, job.held = lane.cell, True
+        flow.used = self.now
+        (flow.queue.appendleft if front else flow.queue.append)(job)
+
+    # ------------------------------------------------------------ the ordinary path
+
+    def _turn(self, lane: _Lane) -> None:
+        """Send while the bound has room, whatever the forecast says: a node that looks too slow is only
+        found well again by an answer. Then turn away what can't be served in time."""
+        while lane.node is not None and len(lane.out) < self._room(lane):
+            job = self._next(lane)
+            if job is None:
+                break
+            self._send(job, lane)
+        self._shed(lane)
+
+    def _room(self, lane: _Lane) -> int:
+        if lane.failed:     # half open: one request tries the node, once its pause is over
+            return 1 if self.now >= lane.trial_at else 0
+        return max(1, int(lane.bound))
+
+    def _next(self, lane: _Lane) -> _Job | None:
+        """The run of the last extent first, else the volume with the smallest tag."""
+        if lane.extent[1] and lane.run < RUN_LIMIT and (flow := lane.flows.get(lane.extent[0])):
+            for job in flow.queue:
+                if job.req.extent == lane.extent[1]:
+                    if self._sendable(job, lane):
+                        return job
+                    break
+        waiting = [(self._tag(f, lane), volume) for volume, f in lane.flows.items() if f.queue]
+        for _, volume in sorted(waiting):
+            flow = lane.flows[volume]
+            for job in flow.queue:
+                if self._sendable(job, lane):
+                    return job
+        return None
+
+    def _tag(self, flow: _Flow, lane: _Lane) -> float:
+        """Tags move only at completion: what is out counts as completed, so no volume fills the bound."""
+        return flow.tag + flow.out * self._step(flow, lane)
+
+    def _step(self, flow: _Flow, lane: _Lane) -> float:
+        mean = sum(flow.recent) / len(flow.recent) if flow.recent else self._response(lane)
+        return mean / flow.weight
+
+    def _response(self, lane: _Lane) -> float:
+        return lane.response or self.least_aim * TARGET_SHARE / 2
+
+    def _sendable(self, job: _Job, lane: _Lane) -> bool:
+        """The guards between a held request and its node: limit, cold node, order by key, attempts."""
+        if not job.tries and job.plan.limit and self._volume(job).level < job.req.units:
+            return False
+        if not self._cold_room(lane, job.req.units):
+            return False
+        if self._ordered(job) and (self.keys[job.req.extent][0] is not job
+                                   or (not job.tries and self.settling.get(job.req.extent, 0.0) > self.now)):
+            return False
+        return not job.tries or self._may(job, lane.node)
+
+    @staticmethod
+    def _ordered(job: _Job) -> bool:
+        return job.cls.ordered and job.req.extent != 0
+
+    def _send(self, job: _Job, lane: _Lane) -> None:
+        assert lane.node is not None
+        flow = lane.flows[job.req.volume]
+        flow.queue.remove(job)
+        job.held = False
+        if not job.tries and job.plan.limit:
+            self._volume(job).level -= job.req.units
+        if job.tries and self.s.extra_free is not None:
+            self.extras.append(self.now)
+        if lane.born is not None:
+            lane.fed.append((self.now, job.req.units))
+        here = (job.req.volume, job.req.extent)
+        lane.run = lane.run + 1 if here == lane.extent else 1
+        lane.extent = here
+        if not lane.out:
+            lane.heard = self.now
+        lane.out[job.req.id, len(job.tries)] = self.now
+        flow.out += 1
+        job.tries.append(_Attempt(lane.node, self.now))
+        self.acts.append(Send(job.req.id, lane.node))
+
+    # ----------------------------------------------------------------- cold nodes
+
+    def _cold_budget(self, lane: _Lane) -> float | None:
+        """Units that this head may send a young node in any `fall` seconds; None: it is warm.
+
+        Grows only as fast as the slowest warm-up allowed, counted from the window's start, and is one head's
+        even part, so that all heads together stay safe without a word between them."""
+        if lane.born is None:
+            return None
+        age = self.now - lane.born - self.s.fall
+        if age >= self.s.warm_after:
+            lane.born = None
+            return None
+        start = max(self.s.cold_capacity, 0.01)
+        growth = 1 + (1 - start) / start * max(0.0, age) / self.s.warm_after
+        return self.s.young_limit / max(1, self.s.heads) * growth
+
+    def _cold_room(self, lane: _Lane, units: float) -> bool:
+        budget = self._cold_budget(lane)
+        while lane.fed and lane.fed[0][0] <= self.now - self.s.fall:
+            lane.fed.popleft()
+        return budget is None or sum(u for _, u in lane.fed) + units <= budget
+
+    # ------------------------------------------------------------------ admission
+
+    def _shed(self, lane: _Lane) -> None:
+        """While some held request would miss its aim, turn away the least of those that leave before it.
+
+        First what is beyond the share (the volume with most of that per weight), then the rest; what is in
+        its reserve stays longest. Guards against any shortage at a node, whatever its cause. Harm: with a
+        response mean just after a pause it refuses what might have made it."""
+        held = lane.held()
+        while held:
+            plan = self._forecast(lane)
+            late = next((k for k, (job, done) in enumerate(plan) if done > self._needed(job)), None)
+            if late is None:
+                break
+            excess: dict[int, float] = {}
+            for job, _ in plan:
+                if job.rank:
+                    more = job.req.units / job.plan.weight
+                    excess[job.req.volume] = excess.get(job.req.volume, 0.0) + more
+            victim = max((job for job, _ in plan[:late + 1]), key=lambda j: (
+                j.rank, excess[j.req.volume] if j.rank else 0.0, -j.cls.worth * j.plan.worth_factor, j.req.id))
+            self._end(victim)
+            held -= 1
+
+    def _needed(self, job: _Job) -> float:
+        return job.ends if job.rank == 2 else job.wanted
+
+    def _forecast(self, lane: _Lane) -> list[tuple[_Job, float]]:
+        """Held requests in the order in which tags would send them, and when each would be done."""
+        response = self._response(lane)
+        if lane.node is None or lane.failed:
+            return [(j, self.now + self.look) for f in lane.flows.values() for j in f.queue]
+        order: list[tuple[float, int, int, _Job]] = []
+        for volume, flow in lane.flows.items():
+            tag, step = self._tag(flow, lane), self._step(flow, lane)
+            order += [(tag + k * step, volume, k, job) for k, job in enumerate(flow.queue)]
+        room = max(1, int(lane.bound))
+        budget = self._cold_budget(lane)
+        pace = response / room                       # seconds between two that leave
+        if budget is not None:
+            pace = max(pace, self.s.mean_units * self.s.fall / max(budget, 0.01))
+        ahead = float(len(lane.out) - room + 1)
+        plan = []
+        for _, _, _, job in sorted(order, key=lambda x: x[:3]):
+            plan.append((job, self.now + max(0.0, ahead) * pace + response))
+            ahead += job.req.units / self.s.mean_units
+        return plan
+
+    # ------------------------------------------------------------------- outcomes
+
+    def _on_outcome(self, event: Outcome) -> None:
+        job = self.jobs.get(event.id)
+        if job is None or event.attempt >= len(job.tries) or not job.tries[event.attempt].open:
+            return
+        attempt = job.tries[event.attempt]
+        attempt.open = False
+        attempt.maybe_ran = event.result not in (Result.FULL, Result.UNREACHED, Result.MOOT)
+        if event.result in (Result.TIMED_OUT, Result.BROKEN, Result.CANCELLED) and self._ordered(job):
+            self.settling[job.req.extent] = self.now + self.s.settle_after_doubt
+        lane = self.lanes[job.cell]
+        if lane.out.pop((event.id, event.attempt), None) is not None:
+            lane.flows[job.req.volume].out -= 1
+            self._learn(lane, job, event, attempt)
+        self._meter(job, event)
+        if event.final or job.over:
+            self._over(job)
+        elif not any(t.open for t in job.tries):
+            self._again(job, event.result)
+        self._turn(lane)
+
+    def _learn(self, lane: _Lane, job: _Job, event: Outcome, attempt: _Attempt) -> None:
+        """Health, bound and tags of the node that answered."""
+        flow = lane.flows[job.req.volume]
+        if event.result in (Result.UNREACHED, Result.BROKEN):
+            self._suspect(lane)
+        elif event.result in (Result.SERVED, Result.ERROR, Result.FULL):
+            self._alive(lane)
+        if event.result is Result.FULL:
+            lane.bound = max(1.0, lane.bound / 2)
+        elif event.result in (Result.SERVED, Result.TIMED_OUT) and event.took == event.took:
+            took = max(event.took, 0.0)
+            lane.response += (took - lane.response) * (GAIN if lane.response else 1.0)
+            flow.recent.append(took)
+            flow.tag += self._step(flow, lane)
+            target = self.least_aim * TARGET_SHARE
+            full = len(lane.out) + 1 >= int(lane.bound)
+            wanted = target / max(lane.response, 1e-3) * lane.bound + PULL
+            if wanted < lane.bound or full:
+                lane.bound += GAIN * (min(wanted, 2 * lane.bound) - lane.bound)
+            lane.bound = min(max(1.0, lane.bound), BOUND_MOST)
+        active = [f for f in lane.flows.values() if f.queue or f.out]
+        if active:
+            shift = self.now - min(f.tag for f in active)
+            for f in active:
+                f.tag += shift
+
+    def _meter(self, job: _Job, event: Outcome) -> None:
+        """How much of the volume's use comes through this head: its part of the reserve follows."""
+        volume = self._volume(job)
+        if event.result is Result.SERVED:
+            span = max(self.s.meter, self.least_aim)
+            keep = max(0.0, 1 - (self.now - volume.served) / span)
+            volume.mine = volume.mine * keep + job.req.units / span
+            volume.served = self.now
+        if event.used is not None and event.used > 0:
+            volume.part = min(1.0, volume.mine / (event.used * job.plan.rate)) if job.plan.rate else 0.0
+
+    def _suspect(self, lane: _Lane) -> None:
+        """A bad sign: hold back, try again with one request after a pause that doubles."""
+        lane.failed += 1
+        pause = min(TRIAL_MOST_S, TRIAL_S * 2 ** min(lane.failed - 1, 8))
+        lane.trial_at = self.now + pause * self.random.uniform(0.8, 1.0)
+        lane.heard = self.now
+        if lane.failed == 1:
+            lane.away = self.now
+            self.acts.append(Log(f"node {lane.node} suspected"))
+        for volume in list(lane.flows):
+            for job in list(lane.flows[volume].queue):
+                if job.req.cell < 0 and not self._doubtful(job):
+                    other = self._place(job)
+                    if other is not None and other is not lane:
+                        lane.flows[volume].queue.remove(job)
+                        self._hold(job, other)
+
+    def _alive(self, lane: _Lane) -> None:
+        lane.heard = self.now
+        if lane.failed:
+            if lane.failed > 1 and lane.born is None:
+                lane.born = self.now        # it may have restarted while it was away, unseen by the list
+            lane.failed = 0
+            self.acts.append(Log(f"node {lane.node} answers again"))
+
+    # ------------------------------------------------------------- attempts and ends
+
+    def _may(self, job: _Job, node: int | None) -> bool:
+        """May the request go (again) to this node? With node None: may it be refused?
+
+        Unsafe: only while no attempt may have run. Keyed: then also within the group and the window that
+        drop its repeats. Every further attempt is within try_limit and, where one is set, the budget."""
+        doubt = [t for t in job.tries if t.maybe_ran]
+        if node is not None:
+            if any(t.open for t in job.tries) and not self.s.second_copies:
+                return False
+            if len(job.tries) >= self.s.try_limit or not self._in_budget():
+                return False
+        if not doubt or job.cls.effect is Effect.SAFE:
+            return True
+        if job.cls.effect is Effect.UNSAFE:
+            return False
+        if node is None:
+            return job.cls.group is Group.ALL
+        if self.now + 2 * self.s.tick > doubt[0].sent + job.cls.window:
+            return False
+        return all(t.node == node or self._same_group(job.cls.group, t.node, node) for t in doubt)
+
+    @staticmethod
+    def _doubtful(job: _Job) -> bool:
+        return any(t.maybe_ran for t in job.tries)
+
+    def _same_group(self, group: Group, one: int, other: int) -> bool:
+        a, b = self.nodes.get(one), self.nodes.get(other)
+        if group is Group.ALL or a is None or b is None:
+            return group is Group.ALL
+        return a.zone == b.zone if group is Group.ZONE else a.cell == b.cell
+
+    def _in_budget(self) -> bool:
+        if self.s.extra_free is None:
+            return True
+        since = self.now - self.s.extra_span
+        for times in (self.taken, self.extras):
+            while times and times[0] < since:
+                times.popleft()
+        return len(self.extras) + 1 <= self.s.extra_free + self.s.extra_ratio * len(self.taken)
+
+    def _again(self, job: _Job, result: Result) -> None:
+        """Nothing of the request is out and it is still owed an answer: another try, or its end."""
+        lane = self.lanes[job.cell]
+        hopeless = self.now + self._response(lane) > job.ends or result is Result.TIMED_OUT
+        if job.req.cell < 0 and (lane.failed or lane.node is None) and not self._doubtful(job):
+            lane = self._place(job) or lane
+        if hopeless or lane.node is None or not self._may(job, lane.node):
+            return self._end(job)
+        self._hold(job, lane, front=True)
+        if lane.cell != job.cell:
+            self._turn(lane)
+        self._tick()
+
+    def _end(self, job: _Job) -> None:
+        """Give up: the final answer goes out at once, a refusal wherever one is allowed."""
+        if job.rank == 0 and not job.tries:
+            self._volume(job).reserve += job.req.units
+        if self._may(job, None):
+            self.acts.append(Refuse(job.req.id, self._advice(job)))
+        else:
+            self.acts.append(Fail(job.req.id))
+        self._over(job)
+
+    def _advice(self, job: _Job) -> float:
+        """When to come back: once what this head holds at the node has left."""
+        lane = self.lanes.get(job.cell)
+        if not self.s.retry_after:
+            return 0.0
+        return self.s.max_retry_after if lane is None else min(self._wait(lane), self.s.max_retry_after)
+
+    def _over(self, job: _Job) -> None:
+        """The request is over: nothing more goes out for it, and what is out is called off."""
+        if job.held:
+            self.lanes[job.cell].flows[job.req.volume].queue.remove(job)
+            job.held = False
+        if not job.over and self.s.may_cancel:
+            self.acts += [Cancel(job.req.id, k) for k, t in enumerate(job.tries) if t.open]
+        job.over = True
+        if any(t.open for t in job.tries):
+            return
+        self.jobs.pop(job.req.id, None)
+        if self._ordered(job):
+            self.keys[job.req.extent].remove(job)
+            if not self.keys[job.req.extent]:
+                del self.keys[job.req.extent]
+
+    # ----------------------------------------------------------------------- looks
+
+    def _tick(self) -> None:
+        if not self.ticking:
+            self.acts.append(SetTimer(self.look, 0))
+        self.ticking = True
+
+    def _on_look(self) -> None:
+        """Now and then, while anything is held or out: what only the passing of time changes."""
+        self.ticking = False
+        if self.ask_at is not None and self.now >= self.ask_at:
+            self.ask_at = None
+            self.acts.append(Watch(True) if self.s.must_ask else FetchList())
+        for lane in self.lanes.values():
+            patience = max(SILENT_AIMS * self.least_aim, SILENT_MEANS * lane.response)
+            if lane.out and not lane.failed and self.now - lane.heard > patience:
+                self._suspect(lane)
+            for flow in lane.flows.values():
+                for job in list(flow.queue):
+                    late = self.now + self.look > job.wanted and (lane.node is None or lane.failed > 1)
+                    if late or self.now + 2 * self.look > job.ends:
+                        self._end(job)
+        self._dispatch_all()
+        self._forget()
+        if self.jobs or self.ask_at is not None:
+            self._tick()
+
+    def _dispatch_all(self) -> None:
+        for lane in list(self.lanes.values()):
+            if lane.node is not None:
+                self._turn(lane)
+
+    def _forget(self) -> None:
+        """Idle volumes leave the tables; a limit's bucket starts empty again, which is never too much."""
+        while self.volumes and next(iter(self.volumes.values())).filled < self.now - IDLE_S:
+            self.volumes.popitem(last=False)
+        for lane in self.lanes.values():
+            for volume in [v for v, f in lane.flows.items()
+                           if not f.queue and not f.out and f.used < self.now - IDLE_S]:
+                del lane.flows[volume]
+        for key in [k for k, until in self.settling.items() if until <= self.now]:
+            del self.settling[key]
