Give a fresh head the whole cold budget until a live list comes

Cause: on kochi the list service answers all heads only over seconds, so every fresh head rationed every node. Such a head knows of no start; heads that do keep to their even parts. Harm: several fresh heads at once at a node that has just started may together pass its budget; the list or its first failures then tell.

--- a/fawnspool/control.py
+++ b/fawnspool/control.py
@@ -47,7 +47,6 @@
     req: Request
     cls: RequestClass
     plan: Plan
-    came: float
     ends: float                 # when its client gives up
     wanted: float               # until when it earns its full worth
     rank: int                   # 0 in its volume's reserve, 1 beyond it, 2 late whatever we do
@@ -203,7 +202,7 @@
     def _on_request(self, req: Request) -> None:
         cls, plan = self.s.classes[req.cls], self.s.plans[req.plan]
         spent = max(0.0, cls.deadline - req.patience) if req.repeat else 0.0
-        job = _Job(req, cls, plan, self.now, self.now + req.patience, self.now + cls.aim - spent, 1)
+        job = _Job(req, cls, plan, self.now + req.patience, self.now + cls.aim - spent, 1)
         self.jobs[req.id] = job
         if self.s.extra_free is not None:
             self.taken.append(self.now)
@@ -354,7 +353,8 @@
         """Units that this head may send a young node in any `fall` seconds; None: it is warm.
 
         Grows only as fast as the slowest warm-up allowed, counted from the window's start, and is one head's
-        even part, so that all heads together stay safe without a word between them."""
+        even part, so that all heads together stay safe without a word between them. A fresh head that still
+        waits for a live list takes the whole: it knows of no start, and the others keep to their parts."""
         if lane.born is None:
             return None
         age = self.now - lane.born - self.s.fall
@@ -363,7 +363,7 @@
             return None
         start = max(self.s.cold_capacity, 0.01)
         growth = 1 + (1 - start) / start * max(0.0, age) / self.s.warm_after
-        return self.s.young_limit / max(1, self.s.heads) * growth
+        return self.s.young_limit * growth / (1 if self.unsure else max(1, self.s.heads))
 
     def _cold_room(self, lane: _Lane, units: float) -> bool:
         budget = self._cold_budget(lane)
@@ -387,11 +387,10 @@
                 break
             excess: dict[int, float] = {}
             for job, _ in plan:
-                if job.rank:
-                    more = job.req.units / job.plan.weight
-                    excess[job.req.volume] = excess.get(job.req.volume, 0.0) + more
+                before = excess.get(job.req.volume, 0.0)
+                excess[job.req.volume] = before + (job.req.units / job.plan.weight if job.rank else 0.0)
             victim = max((job for job, _ in plan[:late + 1]), key=lambda j: (
-                j.rank, excess[j.req.volume] if j.rank else 0.0, -j.cls.worth * j.plan.worth_factor, j.req.id))
+                j.rank, bool(j.rank) * excess[j.req.volume], -j.cls.worth * j.plan.worth_factor, j.req.id))
             self._end(victim)
             held -= 1
 
@@ -580,10 +579,11 @@
         if job.held:
             self.lanes[job.cell].flows[job.req.volume].queue.remove(job)
             job.held = False
+        still = [k for k, t in enumerate(job.tries) if t.open]
         if not job.over and self.s.may_cancel:
-            self.acts += [Cancel(job.req.id, k) for k, t in enumerate(job.tries) if t.open]
+            self.acts += [Cancel(job.req.id, k) for k in still]
         job.over = True
-        if any(t.open for t in job.tries):
+        if still:
             return
         self.jobs.pop(job.req.id, None)
         if self._ordered(job):
