--- a/fawnspool/control.py
+++ b/fawnspool/control.py
@@ -219,8 +219,15 @@
         lane = self.lanes.get(req.cell) if req.cell >= 0 else self._place(job)
         if lane is None:
             return self._end(job)
-        self._hold(job, lane)
+        self._offer(job, lane)
+
+    def _offer(self, job: _Job, lane: _Lane, front: bool = False) -> None:
+        """Hold the job, send what the bound lets. What stays held with too little time for two looks ends
+        now: a client's last try may come with next to none left, and an answer after it is a lost request."""
+        self._hold(job, lane, front)
         self._turn(lane)
+        if job.held and job.ends < self.now + 2 * self.look:
+            self._end(job)
         self._tick()
 
     def _volume(self, job: _Job) -> _Volume:
@@ -251,8 +258,7 @@
         there = [x for x in self.lanes.values() if x.node is not None]
         well = [x for x in there if not x.failed]
         fit = [x for x in well if x.born is None] or well or there
-        if len(fit) > 2:
-            fit = self.random.sample(fit, 2)
+        fit = self.random.sample(fit, min(2, len(fit)))
         return min(fit, key=lambda x: (self._wait(x), x.cell), default=None)
 
     def _wait(self, lane: _Lane) -> float:
@@ -552,10 +558,7 @@
             lane = self._place(job) or lane
         if hopeless or lane.node is None or not self._may(job, lane.node):
             return self._end(job)
-        self._hold(job, lane, front=True)
-        if lane.cell != job.cell:
-            self._turn(lane)
-        self._tick()
+        self._offer(job, lane, front=True)
 
     def _end(self, job: _Job) -> None:
         """Give up: the final answer goes out at once, a refusal wherever one is allowed."""
