Suspect a node only after three bad signs in a row

Cause: one reset put a node on trials, and single trials were reset again. Told from crashes by answers in between.

--- a/fawnspool/control.py
+++ b/fawnspool/control.py
@@ -26,6 +26,7 @@
 TICKS_PER_AIM = 8        # looks at all queues within the least aim: a late look costs an eighth of it
 TRIAL_S = 0.25           # first pause before a node that failed is tried again, seconds; doubles
 TRIAL_MOST_S = 1.0       # longest such pause, seconds: a returned node is found within it
+SIGNS = 3                # resets or failed connects in a row, no answer between, before suspicion
 SILENT_AIMS = 1.5        # least aims without any answer, with work out, before suspicion
 SILENT_MEANS = 3.0       # and mean responses, too: slow is not dead
 IDLE_S = 30.0            # a volume unheard for this long loses its place in the tables, seconds
@@ -96,6 +97,7 @@
     failed: int = 0             # bad signs in a row; over 0: only trials
     trial_at: float = 0.0
     born: float | None = None   # latest time at which the node may have started cold; None: long ago
+    shut: bool = False          # it took no connection since it last answered
     away: float = 0.0           # when it last began to fail
     fed: deque[tuple[float, float]] = field(default_factory=deque)    # sends while cold: time, units
 
@@ -182,7 +184,8 @@
         """Another node (or none) serves the cell from now on: nothing of the old one holds for it."""
         if node == lane.node:
             return
-        lane.node, lane.bound, lane.response, lane.failed, lane.born = node, START_BOUND, 0.0, 0, None
+        lane.node, lane.bound, lane.response, lane.born = node, START_BOUND, 0.0, None
+        lane.failed, lane.shut = 0, False
         lane.out, lane.extent, lane.heard = {}, (0, 0), self.now
         for flow in lane.flows.values():
             flow.out = 0
@@ -256,7 +259,7 @@
     def _place(self, job: _Job) -> _Lane | None:
         """A node for a new object: the better of two drawn ones, so that heads do not herd."""
         there = [x for x in self.lanes.values() if x.node is not None]
-        well = [x for x in there if not x.failed]
+        well = [x for x in there if x.failed < SIGNS]
         fit = [x for x in well if x.born is None] or well or there
         fit = self.random.sample(fit, min(2, len(fit)))
         return min(fit, key=lambda x: (self._wait(x), x.cell), default=None)
@@ -286,7 +289,7 @@
         self._shed(lane)
 
     def _room(self, lane: _Lane) -> int:
-        if lane.failed:     # half open: one request tries the node, once its pause is over
+        if lane.failed >= SIGNS:    # half open: one request tries the node, once its pause is over
             return 1 if self.now >= lane.trial_at else 0
         return max(1, int(lane.bound))
 
@@ -406,7 +409,7 @@
     def _forecast(self, lane: _Lane) -> list[tuple[_Job, float]]:
         """Held requests in the order in which tags would send them, and when each would be done."""
         response = self._response(lane)
-        if lane.node is None or lane.failed:
+        if lane.node is None or lane.failed >= SIGNS:
             return [(j, self.now + self.look) for f in lane.flows.values() for j in f.queue]
         order: list[tuple[float, int, int, _Job]] = []
         for volume, flow in lane.flows.items():
@@ -450,6 +453,7 @@
         """Health, bound and tags of the node that answered."""
         flow = lane.flows[job.req.volume]
         if event.result in (Result.UNREACHED, Result.BROKEN):
+            lane.shut |= event.result is Result.UNREACHED
             self._suspect(lane)
         elif event.result in (Result.SERVED, Result.ERROR, Result.FULL):
             self._alive(lane)
@@ -483,14 +487,19 @@
         if event.used is not None and event.used > 0:
             volume.part = min(1.0, volume.mine / (event.used * job.plan.rate)) if job.plan.rate else 0.0
 
-    def _suspect(self, lane: _Lane) -> None:
-        """A bad sign: hold back, try again with one request after a pause that doubles."""
-        lane.failed += 1
-        pause = min(TRIAL_MOST_S, TRIAL_S * 2 ** min(lane.failed - 1, 8))
+    def _suspect(self, lane: _Lane, signs: int = 1) -> None:
+        """Bad signs in a row, with no answer between: hold back, then try with one request after a pause that
+        doubles. Guards against any node that takes no work, whatever the cause. Single resets don't count as
+        that: a lossy path to a live node looks so. Harm: work waits for the trial at a node just recovered."""
+        if not lane.failed:
+            lane.away = self.now
+        lane.failed += signs
+        if lane.failed < SIGNS:
+            return
+        pause = min(TRIAL_MOST_S, TRIAL_S * 2.0 ** min(lane.failed - SIGNS, 8))
         lane.trial_at = self.now + pause * self.random.uniform(0.8, 1.0)
         lane.heard = self.now
-        if lane.failed == 1:
-            lane.away = self.now
+        if lane.failed - signs < SIGNS:
             self.acts.append(Log(f"node {lane.node} suspected"))
         for volume in list(lane.flows):
             for job in list(lane.flows[volume].queue):
@@ -502,11 +511,11 @@
 
     def _alive(self, lane: _Lane) -> None:
         lane.heard = self.now
-        if lane.failed:
-            if lane.failed > 1 and lane.born is None:
+        if lane.failed >= SIGNS:
+            if lane.shut and lane.born is None:
                 lane.born = self.now        # it may have restarted while it was away, unseen by the list
-            lane.failed = 0
             self.acts.append(Log(f"node {lane.node} answers again"))
+        lane.failed, lane.shut = 0, False
 
     # ------------------------------------------------------------- attempts and ends
 
@@ -554,7 +563,7 @@
         """Nothing of the request is out and it is still owed an answer: another try, or its end."""
         lane = self.lanes[job.cell]
         hopeless = self.now + self._response(lane) > job.ends or result is Result.TIMED_OUT
-        if job.req.cell < 0 and (lane.failed or lane.node is None) and not self._doubtful(job):
+        if job.req.cell < 0 and (lane.failed >= SIGNS or lane.node is None) and not self._doubtful(job):
             lane = self._place(job) or lane
         if hopeless or lane.node is None or not self._may(job, lane.node):
             return self._end(job)
@@ -609,11 +618,11 @@
             self.acts.append(Watch(True) if self.s.must_ask else FetchList())
         for lane in self.lanes.values():
             patience = max(SILENT_AIMS * self.least_aim, SILENT_MEANS * lane.response)
-            if lane.out and not lane.failed and self.now - lane.heard > patience:
-                self._suspect(lane)
+            if lane.out and lane.failed < SIGNS and self.now - lane.heard > patience:
+                self._suspect(lane, SIGNS)
             for flow in lane.flows.values():
                 for job in list(flow.queue):
-                    late = self.now + self.look > job.wanted and (lane.node is None or lane.failed > 1)
+                    late = self.now + self.look > job.wanted and (lane.node is None or lane.failed > SIGNS)
                     if late or self.now + 2 * self.look > job.ends:
                         self._end(job)
         self._dispatch_all()
