Bound what all heads together may have out at a node

Cause: bounds grown in light hours let every head put sixteen requests on each node at once. Told from slow nodes: all nodes alike, with no change in the list.

--- a/fawnspool/control.py
+++ b/fawnspool/control.py
@@ -21,7 +21,7 @@
 TARGET_SHARE = 0.5       # part of the least aim that a response at a node may take: the rest waits here
 GAIN = 0.1               # smoothing of the node's mean response and of its bound, per completion
 PULL = 0.2               # requests by which a bound seeks more room at each step (PARDA's beta)
-BOUND_MOST = 16.0        # requests out at one node from one head, at most: beyond it only queues grow
+BOUND_ALL = 16.0         # requests out at one node from all heads, at most: beyond it only queues grow
 START_BOUND = 2.0        # requests out at a node that has told nothing yet: one to run, one to follow
 TICKS_PER_AIM = 8        # looks at all queues within the least aim: a late look costs an eighth of it
 TRIAL_S = 0.25           # first pause before a node that failed is tried again, seconds; doubles
@@ -469,7 +469,7 @@
             wanted = target / max(lane.response, 1e-3) * lane.bound + PULL
             if wanted < lane.bound or full:
                 lane.bound += GAIN * (min(wanted, 2 * lane.bound) - lane.bound)
-            lane.bound = min(max(1.0, lane.bound), BOUND_MOST)
+            lane.bound = max(1.0, min(lane.bound, max(START_BOUND, BOUND_ALL / self.s.heads)))
         active = [f for f in lane.flows.values() if f.queue or f.out]
         if active:
             shift = self.now - min(f.tag for f in active)
