Learn no pace from a time-out at a node that has answered since

Cause: on a lossy path each lost attempt's time-out counted as a response of seconds and shut the bound. Kept as it separates loss from slowness; it could harm where a node answers some and starves others.

--- a/fawnspool/control.py
+++ b/fawnspool/control.py
@@ -459,7 +459,8 @@
             self._alive(lane)
         if event.result is Result.FULL:
             lane.bound = max(1.0, lane.bound / 2)
-        elif event.result in (Result.SERVED, Result.TIMED_OUT) and event.took == event.took:
+        elif event.result is Result.SERVED or event.result is Result.TIMED_OUT and lane.heard < attempt.sent:
+            # A time-out at a node that has answered since is a loss on the way: it says nothing of the pace.
             took = max(event.took, 0.0)
             lane.response += (took - lane.response) * (GAIN if lane.response else 1.0)
             flow.recent.append(took)
