Lend units of a limit between peers; shorten the module

The lender takes units off before it tells, so a lost message only loses them. Acts only where settings allow peers.

--- a/fawnspool/control.py
+++ b/fawnspool/control.py
@@ -6,15 +6,17 @@
 """
 from __future__ import annotations
 
+import struct
 from collections import OrderedDict, deque
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from random import Random
+from typing import Any
 
 from fawnspool.interface import (
-    Action, Begun, Cancel, ClientGone, Effect, Event, Fail, FetchList, Group, ListEntry, ListKind, Log,
-    NodeList, Outcome, Phase, Plan, Refuse, Request, RequestClass, Result, Send, SetTimer, Settings,
-    Timer, Watch,
-)
+    Action, Cancel, ClientGone, Effect, Event, Fail, FetchList, Group, ListEntry, ListKind, Log,
+    NodeList, Outcome, PeerMessage, Phase, Plan, Refuse, Request, RequestClass, Result, Send, SetTimer,
+    Settings, Tell, Timer, Watch)
 
 RECENT = 16              # responses in a volume's mean (the paper's N): long enough to smooth one pause
 RUN_LIMIT = 12           # requests of one extent in a row: longer runs would shut out other volumes
@@ -24,13 +26,13 @@
 BOUND_ALL = 16.0         # requests out at one node from all heads, at most: beyond it only queues grow
 START_BOUND = 2.0        # requests out at a node that has told nothing yet: one to run, one to follow
 TICKS_PER_AIM = 8        # looks at all queues within the least aim: a late look costs an eighth of it
-TRIAL_S = 0.25           # first pause before a node that failed is tried again, seconds; doubles
-TRIAL_MOST_S = 1.0       # longest such pause, seconds: a returned node is found within it
+TRIAL_MOST_S = 1.0       # longest pause between trials of a failed node, seconds: its return is found within
 SIGNS = 3                # resets or failed connects in a row, no answer between, before suspicion
-SILENT_AIMS = 1.5        # least aims without any answer, with work out, before suspicion
-SILENT_MEANS = 3.0       # and mean responses, too: slow is not dead
+SILENT = 3.0             # mean responses (at least half aims) without any answer, before suspicion
 IDLE_S = 30.0            # a volume unheard for this long loses its place in the tables, seconds
 VOLUMES_MOST = 4096      # volumes remembered, whatever comes
+_PEER = struct.Struct(">BQf")    # what, volume, units
+_WANT, _LEND = 1, 2
 
 
 @dataclass(slots=True, eq=False)
@@ -49,23 +51,31 @@
     cls: RequestClass
     plan: Plan
     ends: float                 # when its client gives up
-    wanted: float               # until when it earns its full worth
+    wanted: float               # until when it earns its full worth, or any
     rank: int                   # 0 in its volume's reserve, 1 beyond it, 2 late whatever we do
     cell: int = -1
+    key: int = 0                # its place in an order by key; 0: none
     held: bool = False
     over: bool = False
     tries: list[_Attempt] = field(default_factory=list)
 
+    def doubt(self) -> list[_Attempt]:
+        return [t for t in self.tries if t.maybe_ran]
+
 
 @dataclass(slots=True, eq=False)
 class _Volume:
     """What a head knows of one volume over all nodes."""
 
+    plan: Plan
+    heads: int
     level: float = 0.0          # limit's bucket, this head's part; empty at start: an earlier life may
     filled: float = 0.0         # have drawn it
     reserve: float = 0.0
     mine: float = 0.0           # units a second served here, smoothed
     served: float = 0.0
+    asked: float = 0.0          # when peers were last asked for units of its limit
+    lenders: set[int] = field(default_factory=set)
     part: float = 0.0           # share of the volume's use that came through this head
 
 
@@ -104,6 +114,9 @@
     def held(self) -> int:
         return sum(len(flow.queue) for flow in self.flows.values())
 
+    def sound(self) -> bool:
+        return self.node is not None and self.failed < SIGNS
+
 
 class Controller:
     """One head's decisions. handle() is all: the same events give the same actions."""
@@ -111,8 +124,7 @@
     def __init__(self, settings: Settings, seed: int) -> None:
         self.s = settings
         self.random = Random(seed)
-        self.now = 0.0
-        self.acts: list[Action] = []
+        self.now, self.acts = 0.0, list[Action]()
         self.jobs: dict[int, _Job] = {}
         self.lanes: dict[int, _Lane] = {}
         self.nodes: dict[int, ListEntry] = {}
@@ -123,62 +135,40 @@
         self.extras: deque[float] = deque()
         self.least_aim = min(c.aim for c in settings.classes)
         self.look = self.least_aim / TICKS_PER_AIM
-        self.ticking = False
         self.ask_at: float | None = None
-        self.unsure = False         # only a saved list so far
+        self.ticking = self.unsure = False      # a timer is set; only a saved list so far
+        self.handlers: dict[type, Callable[[Any], None]] = {
+            NodeList: self._on_list, Request: self._on_request, Outcome: self._on_outcome,
+            ClientGone: self._on_gone, Timer: self._on_look, PeerMessage: self._on_peer}
 
     def handle(self, now: float, event: Event) -> list[Action]:
-        self.now = now
-        self.acts = []
-        match event:
-            case NodeList():
-                self._on_list(event)
-            case Request():
-                self._on_request(event)
-            case Outcome():
-                self._on_outcome(event)
-            case ClientGone():
-                if job := self.jobs.get(event.id):
-                    self._over(job)
-            case Timer():
-                self._on_look()
-            case Begun():
-                for lane in (x for x in self.lanes.values() if x.node == event.node):
-                    self._alive(lane)
+        self.now, self.acts = now, []
+        if handler := self.handlers.get(type(event)):   # else: an event that tells nothing needed here
+            handler(event)
         return self.acts
 
-    # ---------------------------------------------------------------- node list
-
     def _on_list(self, event: NodeList) -> None:
         saved = event.kind is ListKind.SAVED
         if event.kind is ListKind.FAILED:
             # Re-asked well inside must_ask_in, each head after a pause of its own: all at once are all late.
             self.ask_at = self.now + self.random.uniform(0.3, 0.6) * max(self.s.must_ask_in / 8, self.look)
             return self._tick()
-        if event.kind is not ListKind.CHANGES:
-            self.nodes = {}
-        for entry in event.entries:
-            if entry.phase is Phase.GONE:
-                self.nodes.pop(entry.node, None)
-            else:
-                self.nodes[entry.node] = entry
+        known = self.nodes if event.kind is ListKind.CHANGES else {}
+        known.update((entry.node, entry) for entry in event.entries)
+        self.nodes = {n: entry for n, entry in known.items() if entry.phase is not Phase.GONE}
         if saved:
             # A fresh head's list may be old: ask at once, and until an answer take every node for cold.
             self.acts.append(Watch(True) if self.s.must_ask else FetchList())
-        ready: dict[int, ListEntry] = {}
-        for entry in self.nodes.values():
-            old = ready.get(entry.cell)
-            newer = old is None or (entry.started, entry.node) > (old.started, old.node)
-            if entry.phase is Phase.READY and newer:
-                ready[entry.cell] = entry
-        for cell in sorted(set(ready) | set(self.lanes)):
+        newest = sorted(self.nodes.values(), key=lambda entry: (entry.started, entry.node))
+        ready = {entry.cell: entry for entry in newest if entry.phase is Phase.READY}
+        for cell in sorted(ready.keys() | self.lanes.keys()):
             lane = self.lanes.setdefault(cell, _Lane(cell))
-            now_ready = ready.get(cell)
-            self._seat(lane, now_ready.node if now_ready else None)
-            if now_ready is not None:
-                self._age(lane, now_ready.started, saved)
+            self._seat(lane, ready[cell].node if cell in ready else None)
+            if cell in ready:
+                self._age(lane, ready[cell].started, saved)
         self.unsure = saved
-        self._dispatch_all()
+        for lane in self.lanes.values():
+            self._turn(lane)
 
     def _seat(self, lane: _Lane, node: int | None) -> None:
         """Another node (or none) serves the cell from now on: nothing of the old one holds for it."""
@@ -187,9 +177,12 @@
         lane.node, lane.bound, lane.response, lane.born = node, START_BOUND, 0.0, None
         lane.failed, lane.shut = 0, False
         lane.out, lane.extent, lane.heard = {}, (0, 0), self.now
+        lane.fed.clear()
         for flow in lane.flows.values():
             flow.out = 0
             flow.recent.clear()
+        if node is None:
+            self._replace(lane)
 
     def _age(self, lane: _Lane, started: float, saved: bool) -> None:
         """Since when the node may be cold. A saved list proves nothing; a live one settles it, except for
@@ -198,31 +191,29 @@
         if saved:
             lane.born = self.now
         elif self.unsure or lane.born is None or started >= lane.away:
-            lane.born = started if young else None
-
-    # ----------------------------------------------------------------- requests
+            lane.born = min(started, self.now) if young else None
 
     def _on_request(self, req: Request) -> None:
         cls, plan = self.s.classes[req.cls], self.s.plans[req.plan]
         spent = max(0.0, cls.deadline - req.patience) if req.repeat else 0.0
         job = _Job(req, cls, plan, self.now + req.patience, self.now + cls.aim - spent, 1)
+        job.key = req.extent if cls.ordered else 0
         self.jobs[req.id] = job
         if self.s.extra_free is not None:
             self.taken.append(self.now)
-        if self._ordered(job):
-            self.keys.setdefault(req.extent, deque()).append(job)
+        if job.key:
+            self.keys.setdefault(job.key, deque()).append(job)
         volume = self._volume(job)
         if job.wanted <= self.now + self.look:
-            job.rank = 2
+            job.rank, job.wanted = 2, job.ends
         elif plan.reserve and volume.reserve >= req.units:
             volume.reserve -= req.units
             job.rank = 0
-        if plan.limit and self._limit_wait(job, volume) > job.wanted - self.now:
+        supply = plan.limit / (1 if self.s.peers else volume.heads) * (job.rank < 2)
+        if plan.limit and self._lack(req.volume, volume) + req.units > supply * (job.wanted - self.now):
             return self._end(job)   # beyond its limit: earns nothing, so it costs nothing either
         lane = self.lanes.get(req.cell) if req.cell >= 0 else self._place(job)
-        if lane is None:
-            return self._end(job)
-        self._offer(job, lane)
+        return self._offer(job, lane) if lane else self._end(job)
 
     def _offer(self, job: _Job, lane: _Lane, front: bool = False) -> None:
         """Hold the job, send what the bound lets. What stays held with too little time for two looks ends
@@ -231,35 +222,66 @@
         self._turn(lane)
         if job.held and job.ends < self.now + 2 * self.look:
             self._end(job)
+        if job.held and job.plan.limit:
+            self._ask(job.req.volume, self._volume(job))
         self._tick()
 
     def _volume(self, job: _Job) -> _Volume:
         """The volume's state, its buckets filled up to now."""
         volume = self.volumes.get(job.req.volume)
         if volume is None:
-            volume = self.volumes[job.req.volume] = _Volume(filled=self.now, served=self.now)
-            volume.reserve = job.plan.reserve / max(1, job.req.heads) + self.s.largest_units
-            while len(self.volumes) > VOLUMES_MOST:
-                self.volumes.popitem(last=False)
+            volume = _Volume(job.plan, max(1, job.req.heads), filled=self.now, served=self.now)
+            volume.reserve = self.s.largest_units + job.plan.reserve / volume.heads
+            self.volumes[job.req.volume] = volume
         self.volumes.move_to_end(job.req.volume)
-        heads, plan = max(1, job.req.heads), job.plan
-        passed = self.now - volume.filled
-        volume.level = min(plan.limit_depth / heads, volume.level + passed * plan.limit / heads)
-        fill = max(volume.part, 1 / heads) * plan.reserve
+        volume.heads = max(volume.heads, job.req.heads)
+        self._fill(volume)
+        return volume
+
+    def _fill(self, volume: _Volume) -> None:
+        plan, passed = volume.plan, self.now - volume.filled
+        volume.level = min(plan.limit_depth, volume.level * volume.heads + passed * plan.limit) / volume.heads
+        fill = max(volume.part, 1 / volume.heads) * plan.reserve
         volume.reserve = min(fill + self.s.largest_units, volume.reserve + passed * fill)
         volume.filled = self.now
-        return volume
 
-    def _limit_wait(self, job: _Job, volume: _Volume) -> float:
-        """Seconds until this head's part of the limit covers the job, after what it holds of the volume."""
-        ahead = sum(j.req.units for lane in self.lanes.values() if job.req.volume in lane.flows
-                    for j in lane.flows[job.req.volume].queue if not j.tries)
-        return (ahead + job.req.units - volume.level) * max(1, job.req.heads) / job.plan.limit
+    def _lack(self, ident: int, volume: _Volume) -> float:
+        """Units by which what this head holds of the volume, unsent, passes its part of the limit."""
+        return sum(j.req.units for lane in self.lanes.values() if ident in lane.flows
+                   for j in lane.flows[ident].queue if not j.tries) - volume.level
+
+    def _ask(self, ident: int, volume: _Volume) -> None:
+        """Ask the volume's other heads for units of its limit that they do not use."""
+        lack = self._lack(ident, volume)
+        if self.s.peers and volume.heads > 1 and lack > 0 and self.now >= volume.asked + self.look / 2:
+            volume.asked = self.now
+            known = len(volume.lenders) >= volume.heads - 1
+            body = _PEER.pack(_WANT, ident, lack)
+            self.acts += [Tell(head, body) for head in (sorted(volume.lenders) if known else [None])]
+
+    def _on_peer(self, event: PeerMessage) -> None:
+        """Units of a limit move between heads: the lender takes them off before it tells, a lost message
+        loses them, and no part holds more than its even depth, so all heads together stay within it."""
+        what, ident, units = _PEER.unpack(event.body) if len(event.body) == _PEER.size else (0, 0, 0.0)
+        volume = self.volumes.get(ident)
+        if volume is None or not 0 < units <= volume.plan.limit_depth:
+            return
+        self._fill(volume)
+        if what == _WANT:
+            spare = -self._lack(ident, volume) - volume.mine * self.least_aim
+            if spare >= 1:
+                volume.level -= min(units, spare)
+                self.acts.append(Tell(event.sender, _PEER.pack(_LEND, ident, min(units, spare))))
+        elif what == _LEND:
+            volume.lenders.add(event.sender)
+            volume.level = min(volume.plan.limit_depth / volume.heads, volume.level + units)
+            for lane in [x for x in self.lanes.values() if ident in x.flows]:
+                self._turn(lane)
 
     def _place(self, job: _Job) -> _Lane | None:
         """A node for a new object: the better of two drawn ones, so that heads do not herd."""
         there = [x for x in self.lanes.values() if x.node is not None]
-        well = [x for x in there if x.failed < SIGNS]
+        well = [x for x in there if x.sound()]
         fit = [x for x in well if x.born is None] or well or there
         fit = self.random.sample(fit, min(2, len(fit)))
         return min(fit, key=lambda x: (self._wait(x), x.cell), default=None)
@@ -272,8 +294,7 @@
         flow = lane.flows.setdefault(job.req.volume, _Flow(job.plan.weight))
         if not flow.queue and not flow.out:
             flow.tag = max(flow.tag, self.now)
-        job.cell, job.held = lane.cell, True
-        flow.used = self.now
+        job.cell, job.held, flow.used = lane.cell, True, self.now
         (flow.queue.appendleft if front else flow.queue.append)(job)
 
     # ------------------------------------------------------------ the ordinary path
@@ -281,41 +302,31 @@
     def _turn(self, lane: _Lane) -> None:
         """Send while the bound has room, whatever the forecast says: a node that looks too slow is only
         found well again by an answer. Then turn away what can't be served in time."""
-        while lane.node is not None and len(lane.out) < self._room(lane):
-            job = self._next(lane)
-            if job is None:
-                break
+        while len(lane.out) < self._room(lane) and (job := self._next(lane)):
             self._send(job, lane)
-        self._shed(lane)
+        if lane.sound():
+            self._shed(lane)
 
     def _room(self, lane: _Lane) -> int:
-        if lane.failed >= SIGNS:    # half open: one request tries the node, once its pause is over
-            return 1 if self.now >= lane.trial_at else 0
-        return max(1, int(lane.bound))
+        if lane.sound():
+            return max(1, int(lane.bound))
+        # Half open: one request tries the node, once its pause is over.
+        return int(lane.node is not None and self.now >= lane.trial_at)
 
     def _next(self, lane: _Lane) -> _Job | None:
         """The run of the last extent first, else the volume with the smallest tag."""
-        if lane.extent[1] and lane.run < RUN_LIMIT and (flow := lane.flows.get(lane.extent[0])):
-            for job in flow.queue:
-                if job.req.extent == lane.extent[1]:
-                    if self._sendable(job, lane):
-                        return job
-                    break
-        waiting = [(self._tag(f, lane), volume) for volume, f in lane.flows.items() if f.queue]
-        for _, volume in sorted(waiting):
-            flow = lane.flows[volume]
-            for job in flow.queue:
-                if self._sendable(job, lane):
-                    return job
-        return None
+        tags = sorted((self._tag(f, lane), volume) for volume, f in lane.flows.items() if f.queue)
+        order = [job for _, volume in tags for job in lane.flows[volume].queue]
+        if lane.run < RUN_LIMIT and lane.extent[1]:
+            order.sort(key=lambda job: (job.req.volume, job.req.extent) != lane.extent)
+        return next((job for job in order if self._sendable(job, lane)), None)
 
     def _tag(self, flow: _Flow, lane: _Lane) -> float:
         """Tags move only at completion: what is out counts as completed, so no volume fills the bound."""
         return flow.tag + flow.out * self._step(flow, lane)
 
     def _step(self, flow: _Flow, lane: _Lane) -> float:
-        mean = sum(flow.recent) / len(flow.recent) if flow.recent else self._response(lane)
-        return mean / flow.weight
+        return (sum(flow.recent) / len(flow.recent) if flow.recent else self._response(lane)) / flow.weight
 
     def _response(self, lane: _Lane) -> float:
         return lane.response or self.least_aim * TARGET_SHARE / 2
@@ -326,15 +337,11 @@
             return False
         if not self._cold_room(lane, job.req.units):
             return False
-        if self._ordered(job) and (self.keys[job.req.extent][0] is not job
-                                   or (not job.tries and self.settling.get(job.req.extent, 0.0) > self.now)):
+        if job.key and (self.keys[job.key][0] is not job
+                        or (not job.tries and self.settling.get(job.key, 0.0) > self.now)):
             return False
         return not job.tries or self._may(job, lane.node)
 
-    @staticmethod
-    def _ordered(job: _Job) -> bool:
-        return job.cls.ordered and job.req.extent != 0
-
     def _send(self, job: _Job, lane: _Lane) -> None:
         assert lane.node is not None
         flow = lane.flows[job.req.volume]
@@ -344,20 +351,15 @@
             self._volume(job).level -= job.req.units
         if job.tries and self.s.extra_free is not None:
             self.extras.append(self.now)
-        if lane.born is not None:
-            lane.fed.append((self.now, job.req.units))
+        lane.fed.append((self.now, job.req.units))
         here = (job.req.volume, job.req.extent)
-        lane.run = lane.run + 1 if here == lane.extent else 1
-        lane.extent = here
-        if not lane.out:
-            lane.heard = self.now
+        lane.run, lane.extent = lane.run + 1 if here == lane.extent else 1, here
+        lane.heard = lane.heard if lane.out else self.now
         lane.out[job.req.id, len(job.tries)] = self.now
         flow.out += 1
         job.tries.append(_Attempt(lane.node, self.now))
         self.acts.append(Send(job.req.id, lane.node))
 
-    # ----------------------------------------------------------------- cold nodes
-
     def _cold_budget(self, lane: _Lane) -> float | None:
         """Units that this head may send a young node in any `fall` seconds; None: it is warm.
 
@@ -380,8 +382,6 @@
             lane.fed.popleft()
         return budget is None or sum(u for _, u in lane.fed) + units <= budget
 
-    # ------------------------------------------------------------------ admission
-
     def _shed(self, lane: _Lane) -> None:
         """While some held request would miss its aim, turn away the least of those that leave before it.
 
@@ -391,7 +391,7 @@
         held = lane.held()
         while held:
             plan = self._forecast(lane)
-            late = next((k for k, (job, done) in enumerate(plan) if done > self._needed(job)), None)
+            late = next((k for k, (job, done) in enumerate(plan) if done > job.wanted), None)
             if late is None:
                 break
             excess: dict[int, float] = {}
@@ -403,32 +403,30 @@
             self._end(victim)
             held -= 1
 
-    def _needed(self, job: _Job) -> float:
-        return job.ends if job.rank == 2 else job.wanted
-
     def _forecast(self, lane: _Lane) -> list[tuple[_Job, float]]:
         """Held requests in the order in which tags would send them, and when each would be done."""
         response = self._response(lane)
-        if lane.node is None or lane.failed >= SIGNS:
-            return [(j, self.now + self.look) for f in lane.flows.values() for j in f.queue]
         order: list[tuple[float, int, int, _Job]] = []
         for volume, flow in lane.flows.items():
             tag, step = self._tag(flow, lane), self._step(flow, lane)
             order += [(tag + k * step, volume, k, job) for k, job in enumerate(flow.queue)]
-        room = max(1, int(lane.bound))
-        budget = self._cold_budget(lane)
+        room, budget = max(1, int(lane.bound)), self._cold_budget(lane)
         pace = response / room                       # seconds between two that leave
         if budget is not None:
             pace = max(pace, self.s.mean_units * self.s.fall / max(budget, 0.01))
         ahead = float(len(lane.out) - room + 1)
         plan = []
-        for _, _, _, job in sorted(order, key=lambda x: x[:3]):
+        left: dict[int, float] = {}
+        for _, volume, _, job in sorted(order, key=lambda x: x[:3]):
+            if job.plan.limit and not job.tries:
+                left[volume] = left.get(volume, self._volume(job).level) - job.req.units
+                if left[volume] < 0:        # waits for its limit, in nobody's way
+                    plan.append((job, self.now + response))
+                    continue
             plan.append((job, self.now + max(0.0, ahead) * pace + response))
             ahead += job.req.units / self.s.mean_units
         return plan
 
-    # ------------------------------------------------------------------- outcomes
-
     def _on_outcome(self, event: Outcome) -> None:
         job = self.jobs.get(event.id)
         if job is None or event.attempt >= len(job.tries) or not job.tries[event.attempt].open:
@@ -436,8 +434,8 @@
         attempt = job.tries[event.attempt]
         attempt.open = False
         attempt.maybe_ran = event.result not in (Result.FULL, Result.UNREACHED, Result.MOOT)
-        if event.result in (Result.TIMED_OUT, Result.BROKEN, Result.CANCELLED) and self._ordered(job):
-            self.settling[job.req.extent] = self.now + self.s.settle_after_doubt
+        if event.result in (Result.TIMED_OUT, Result.BROKEN, Result.CANCELLED) and job.key:
+            self.settling[job.key] = self.now + self.s.settle_after_doubt
         lane = self.lanes[job.cell]
         if lane.out.pop((event.id, event.attempt), None) is not None:
             lane.flows[job.req.volume].out -= 1
@@ -459,23 +457,20 @@
             self._alive(lane)
         if event.result is Result.FULL:
             lane.bound = max(1.0, lane.bound / 2)
-        elif event.result is Result.SERVED or event.result is Result.TIMED_OUT and lane.heard < attempt.sent:
-            # A time-out at a node that has answered since is a loss on the way: it says nothing of the pace.
-            took = max(event.took, 0.0)
+        elif event.result is Result.SERVED or (
+                event.result is Result.TIMED_OUT and lane.heard < attempt.sent):    # else lost on the way
+            took = self.now - attempt.sent
             lane.response += (took - lane.response) * (GAIN if lane.response else 1.0)
             flow.recent.append(took)
             flow.tag += self._step(flow, lane)
-            target = self.least_aim * TARGET_SHARE
-            full = len(lane.out) + 1 >= int(lane.bound)
-            wanted = target / max(lane.response, 1e-3) * lane.bound + PULL
-            if wanted < lane.bound or full:
+            wanted = self.least_aim * TARGET_SHARE / max(lane.response, 1e-3) * lane.bound + PULL
+            if wanted < lane.bound or len(lane.out) + 1 >= int(lane.bound):
                 lane.bound += GAIN * (min(wanted, 2 * lane.bound) - lane.bound)
             lane.bound = max(1.0, min(lane.bound, max(START_BOUND, BOUND_ALL / self.s.heads)))
         active = [f for f in lane.flows.values() if f.queue or f.out]
-        if active:
-            shift = self.now - min(f.tag for f in active)
-            for f in active:
-                f.tag += shift
+        shift = self.now - min((f.tag for f in active), default=self.now)
+        for f in active:
+            f.tag += shift
 
     def _meter(self, job: _Job, event: Outcome) -> None:
         """How much of the volume's use comes through this head: its part of the reserve follows."""
@@ -483,32 +478,33 @@
         if event.result is Result.SERVED:
             span = max(self.s.meter, self.least_aim)
             keep = max(0.0, 1 - (self.now - volume.served) / span)
-            volume.mine = volume.mine * keep + job.req.units / span
-            volume.served = self.now
-        if event.used is not None and event.used > 0:
-            volume.part = min(1.0, volume.mine / (event.used * job.plan.rate)) if job.plan.rate else 0.0
+            volume.mine, volume.served = volume.mine * keep + job.req.units / span, self.now
+        if event.used is not None and event.used * job.plan.rate > 0:
+            volume.part = min(1.0, volume.mine / (event.used * job.plan.rate))
 
     def _suspect(self, lane: _Lane, signs: int = 1) -> None:
-        """Bad signs in a row, with no answer between: hold back, then try with one request after a pause that
-        doubles. Guards against any node that takes no work, whatever the cause. Single resets don't count as
-        that: a lossy path to a live node looks so. Harm: work waits for the trial at a node just recovered."""
+        """Bad signs in a row, no answer between: hold back, then try with one request after a pause that
+        doubles. Guards against any node that takes no work, whatever the cause; a lossy path to a live node
+        shows single resets only. Harm: work waits for the next trial at a node just recovered."""
         if not lane.failed:
             lane.away = self.now
         lane.failed += signs
         if lane.failed < SIGNS:
             return
-        pause = min(TRIAL_MOST_S, TRIAL_S * 2.0 ** min(lane.failed - SIGNS, 8))
+        pause = min(TRIAL_MOST_S, self.s.connect_timeout * 2.0 ** min(lane.failed - SIGNS, 8))
         lane.trial_at = self.now + pause * self.random.uniform(0.8, 1.0)
         lane.heard = self.now
         if lane.failed - signs < SIGNS:
             self.acts.append(Log(f"node {lane.node} suspected"))
-        for volume in list(lane.flows):
-            for job in list(lane.flows[volume].queue):
-                if job.req.cell < 0 and not self._doubtful(job):
-                    other = self._place(job)
-                    if other is not None and other is not lane:
-                        lane.flows[volume].queue.remove(job)
-                        self._hold(job, other)
+        self._replace(lane)
+
+    def _replace(self, lane: _Lane) -> None:
+        """New objects held for a node that takes nothing go to another."""
+        for job in [j for f in lane.flows.values() for j in f.queue if j.req.cell < 0 and not j.doubt()]:
+            other = self._place(job)
+            if other is not None and other is not lane:
+                lane.flows[job.req.volume].queue.remove(job)
+                self._hold(job, other)
 
     def _alive(self, lane: _Lane) -> None:
         lane.heard = self.now
@@ -525,26 +521,18 @@
 
         Unsafe: only while no attempt may have run. Keyed: then also within the group and the window that
         drop its repeats. Every further attempt is within try_limit and, where one is set, the budget."""
-        doubt = [t for t in job.tries if t.maybe_ran]
-        if node is not None:
-            if any(t.open for t in job.tries) and not self.s.second_copies:
-                return False
-            if len(job.tries) >= self.s.try_limit or not self._in_budget():
-                return False
+        doubt = job.doubt()
+        if node is not None and (len(job.tries) >= self.s.try_limit or not self._in_budget()
+                                 or (any(t.open for t in job.tries) and not self.s.second_copies)):
+            return False
         if not doubt or job.cls.effect is Effect.SAFE:
             return True
-        if job.cls.effect is Effect.UNSAFE:
-            return False
-        if node is None:
-            return job.cls.group is Group.ALL
+        if job.cls.effect is Effect.UNSAFE or node is None:
+            return job.cls.effect is Effect.KEYED and job.cls.group is Group.ALL
         if self.now + 2 * self.s.tick > doubt[0].sent + job.cls.window:
             return False
         return all(t.node == node or self._same_group(job.cls.group, t.node, node) for t in doubt)
 
-    @staticmethod
-    def _doubtful(job: _Job) -> bool:
-        return any(t.maybe_ran for t in job.tries)
-
     def _same_group(self, group: Group, one: int, other: int) -> bool:
         a, b = self.nodes.get(one), self.nodes.get(other)
         if group is Group.ALL or a is None or b is None:
@@ -564,85 +552,80 @@
         """Nothing of the request is out and it is still owed an answer: another try, or its end."""
         lane = self.lanes[job.cell]
         hopeless = self.now + self._response(lane) > job.ends or result is Result.TIMED_OUT
-        if job.req.cell < 0 and (lane.failed >= SIGNS or lane.node is None) and not self._doubtful(job):
+        if job.req.cell < 0 and not lane.sound() and not job.doubt():
             lane = self._place(job) or lane
-        if hopeless or lane.node is None or not self._may(job, lane.node):
-            return self._end(job)
-        self._offer(job, lane, front=True)
+        again = not hopeless and lane.node is not None and self._may(job, lane.node)
+        return self._offer(job, lane, front=True) if again else self._end(job)
 
     def _end(self, job: _Job) -> None:
         """Give up: the final answer goes out at once, a refusal wherever one is allowed."""
         if job.rank == 0 and not job.tries:
             self._volume(job).reserve += job.req.units
         if self._may(job, None):
-            self.acts.append(Refuse(job.req.id, self._advice(job)))
+            lane = self.lanes.get(job.cell)     # come back once what is held there has left
+            wait = min(self._wait(lane), self.s.max_retry_after) if lane else self.s.max_retry_after
+            self.acts.append(Refuse(job.req.id, wait if self.s.retry_after else 0.0))
         else:
             self.acts.append(Fail(job.req.id))
         self._over(job)
 
-    def _advice(self, job: _Job) -> float:
-        """When to come back: once what this head holds at the node has left."""
-        lane = self.lanes.get(job.cell)
-        if not self.s.retry_after:
-            return 0.0
-        return self.s.max_retry_after if lane is None else min(self._wait(lane), self.s.max_retry_after)
-
     def _over(self, job: _Job) -> None:
         """The request is over: nothing more goes out for it, and what is out is called off."""
         if job.held:
             self.lanes[job.cell].flows[job.req.volume].queue.remove(job)
             job.held = False
-        still = [k for k, t in enumerate(job.tries) if t.open]
-        if not job.over and self.s.may_cancel:
-            self.acts += [Cancel(job.req.id, k) for k in still]
+        still = [Cancel(job.req.id, k) for k, t in enumerate(job.tries) if t.open]
+        self.acts += still if self.s.may_cancel and not job.over else []
         job.over = True
         if still:
             return
         self.jobs.pop(job.req.id, None)
-        if self._ordered(job):
-            self.keys[job.req.extent].remove(job)
-            if not self.keys[job.req.extent]:
-                del self.keys[job.req.extent]
-
-    # ----------------------------------------------------------------------- looks
+        if job.key:
+            self.keys[job.key].remove(job)
+            if not self.keys[job.key]:
+                del self.keys[job.key]
 
     def _tick(self) -> None:
         if not self.ticking:
             self.acts.append(SetTimer(self.look, 0))
         self.ticking = True
 
-    def _on_look(self) -> None:
+    def _on_gone(self, event: ClientGone) -> None:
+        if job := self.jobs.get(event.id):
+            self._over(job)
+
+    def _on_look(self, event: Timer) -> None:
         """Now and then, while anything is held or out: what only the passing of time changes."""
         self.ticking = False
         if self.ask_at is not None and self.now >= self.ask_at:
             self.ask_at = None
             self.acts.append(Watch(True) if self.s.must_ask else FetchList())
         for lane in self.lanes.values():
-            patience = max(SILENT_AIMS * self.least_aim, SILENT_MEANS * lane.response)
-            if lane.out and lane.failed < SIGNS and self.now - lane.heard > patience:
+            patience = SILENT * max(self.least_aim / 2, lane.response)      # slow is not dead
+            if lane.out and lane.sound() and self.now - lane.heard > patience:
                 self._suspect(lane, SIGNS)
             for flow in lane.flows.values():
                 for job in list(flow.queue):
-                    late = self.now + self.look > job.wanted and (lane.node is None or lane.failed > SIGNS)
+                    late = self.now + self.look > job.wanted and not lane.sound()
                     if late or self.now + 2 * self.look > job.ends:
                         self._end(job)
-        self._dispatch_all()
+        for lane in self.lanes.values():
+            self._turn(lane)
+        for ident, volume in self.volumes.items():
+            if volume.plan.limit and self.s.peers and self.now - volume.filled < 2 * self.look:
+                self._ask(ident, volume)
         self._forget()
         if self.jobs or self.ask_at is not None:
             self._tick()
 
-    def _dispatch_all(self) -> None:
-        for lane in list(self.lanes.values()):
-            if lane.node is not None:
-                self._turn(lane)
-
     def _forget(self) -> None:
         """Idle volumes leave the tables; a limit's bucket starts empty again, which is never too much."""
-        while self.volumes and next(iter(self.volumes.values())).filled < self.now - IDLE_S:
+        while self.volumes and (len(self.volumes) > VOLUMES_MOST
+                                or next(iter(self.volumes.values())).filled < self.now - IDLE_S):
             self.volumes.popitem(last=False)
         for lane in self.lanes.values():
-            for volume in [v for v, f in lane.flows.items()
-                           if not f.queue and not f.out and f.used < self.now - IDLE_S]:
+            idle = [v for v, f in lane.flows.items() if not (f.queue or f.out or f.used >= self.now - IDLE_S)]
+            for volume in idle:
                 del lane.flows[volume]
         for key in [k for k, until in self.settling.items() if until <= self.now]:
             del self.settling[key]
