--- a/fawnspool/adapter/settings.py
+++ b/fawnspool/adapter/settings.py
@@ -1,6 +1,8 @@
 """The settings text of the wire, read into the project's own Settings."""
 from __future__ import annotations
 
+import math
+
 from fawnspool.interface import Effect, Group, Plan, RequestClass, Settings
 
 _EFFECTS = {"free": Effect.SAFE, "guarded": Effect.KEYED, "single_shot": Effect.UNSAFE}
@@ -25,9 +27,12 @@
     def number(self, path: str, default: float | None = None) -> float:
         raw = self.text(path, None if default is None else str(default))
         try:
-            return float(raw)
+            value = float(raw)
         except ValueError:
-            raise SettingsError(f"setting {path} is not a number: {raw!r}") from None
+            value = math.nan
+        if not math.isfinite(value):
+            raise SettingsError(f"setting {path} is not a number: {raw!r}")
+        return value
 
     def whole(self, path: str, default: int | None = None) -> int:
         return int(self.number(path, default))
--- /dev/null
+++ b/tests/test_wire.py
@@ -0,0 +1,233 @@
+"""The codec by bytes written here, bad frames, the settings text, and the deploy file's own command."""
+from __future__ import annotations
+
+import io
+import struct
+import subprocess
+import tomllib
+from pathlib import Path
+
+import pytest
+
+from fawnspool import interface as i
+from fawnspool.adapter import wire
+from fawnspool.adapter.host import Host
+from fawnspool.adapter.settings import SettingsError, read_settings
+
+ROOT = Path(__file__).parent.parent
+CONF = """\
+classes.count=2
+classes.0.aim=0.4
+classes.0.deadline=2.0
+classes.0.group=all
+classes.0.late_value=0.1
+classes.0.name=look
+classes.0.repeat=free
+classes.0.value=2.0
+classes.0.window=5.0
+classes.1.aim=0.8
+classes.1.deadline=5.0
+classes.1.fifo_by_key=true
+classes.1.group=cell
+classes.1.name=put
+classes.1.repeat=guarded
+classes.1.value=2.0
+discovery=ask
+family_info.fair_worth=0.3
+family_info.largest=8
+family_info.slots_total=3
+family_info.spare_worth=0.05
+family_info.usual_units=2.2
+family_info.writes=false,true
+family_info.young_limit=17.0
+grades.count=1
+grades.0.cap=30.0
+grades.0.cap_depth=48.0
+grades.0.rate=3.8
+grades.0.shares=1.0
+grades.0.tolerance=8.0
+grades.0.value_factor=0.8
+guarantees.drain_grace=0.25
+guarantees.extra_free=3
+guarantees.fall=3.0
+guarantees.repeat_ratio=0.1
+guarantees.budget_span=5.0
+guarantees.start_capacity=0.2
+guarantees.tip_multiple=2.0
+guarantees.warm_after=18.0
+limits.try_limit=4
+me=0
+siblings=3
+tick=0.002
+weather=fine
+"""
+ENTRY = struct.pack(">IBHHBfd", 77, 1, 0, 2, 1, 1.5, 6.1)
+
+
+def record(code: int, layout: str, *fields: float) -> bytes:
+    return (bytes([code]) + struct.pack(">" + layout, *fields)).ljust(56, b"\0")
+
+
+def batch(now: float, records: list[bytes], tail: bytes = b"") -> bytes:
+    body = struct.pack(">Id", len(records), now) + b"".join(records) + tail
+    return struct.pack(">I", len(body)) + body
+
+
+def start(who: int = 3, conf: str = CONF, offset: int = 0) -> bytes:
+    return record(1, "IQII", who, 42, offset, len(conf.encode()))
+
+
+def call(who: int, ident: int, cell: float = 2.0, units: float = 2.0) -> bytes:
+    return record(3, "IIBIQdQfffB", who, ident, 0, 0, 5, 2.0, 9, units, cell, 1.0, 2)
+
+
+def read_reply(data: bytes) -> tuple[list[bytes], bytes]:
+    count, length = struct.unpack_from(">II", data)
+    assert length == len(data) - 8
+    return [data[8 + 24 * k:32 + 24 * k] for k in range(count)], data[8 + 24 * count:]
+
+
+def test_every_event_decodes() -> None:
+    conf = CONF.encode()
+    records = [
+        start(), record(2, "IIBdB4f", 3, 77, 10, 0.25, 1, 14.5, 0, 0, 0), call(3, 8),
+        record(4, "IHII", 3, 2, len(conf), 2), record(5, "IQ", 3, 77), record(6, "I", 3),
+        record(7, "IBQII", 3, 2, 41, len(conf) + 2, 1), record(8, "II", 3, 8),
+        record(9, "IIHId", 3, 8, 1, 77, 0.5),
+        record(10, "IIIHdBHHBB4f", 3, 8, 77, 1, 0.5, 0, 3, 87, 40, 0, 0, 0, 0, 0),
+    ]
+    got = wire.read_batch(io.BytesIO(batch(20.5, records, conf + b"hi" + ENTRY)))
+    assert got is not None
+    now, events = got
+    assert now == 20.5 and [who for who, _ in events] == [3] * 10
+    assert [e for _, e in events] == [
+        wire.Start(42, CONF), i.Probed(77, i.Result.SERVED, 0.25, (14.5, 0.0, 0.0, 0.0)),
+        i.Request(8, 0, 0, 5, 2.0, 9, 2.0, 2, 1, True, False), i.PeerMessage(2, b"hi"), i.Timer(77), wire.Stop(),
+        i.NodeList(i.ListKind.CHANGES, 41, (i.ListEntry(77, 1, 0, 2, i.Phase.READY, 1.5, 6.1),)),
+        i.ClientGone(8), i.Begun(8, 1, 77, 0.5),
+        i.Outcome(8, 1, 77, 0.5, i.Result.TIMED_OUT, False, 3, 0.86, None),
+    ]
+
+
+@pytest.mark.parametrize(("code", "result"), [
+    (10, i.Result.SERVED), (20, i.Result.ERROR), (30, i.Result.FULL), (40, i.Result.TIMED_OUT),
+    (50, i.Result.UNREACHED), (60, i.Result.BROKEN), (70, i.Result.CANCELLED), (80, i.Result.MOOT)])
+def test_every_outcome_code(code: int, result: i.Result) -> None:
+    raw = record(10, "IIIHdBHHBB4f", 3, 8, 77, 0, 0.5, 1, 0, 0, code, 0, 0, 0, 0, 0)
+    got = wire.read_batch(io.BytesIO(batch(1.0, [raw])))
+    assert got is not None
+    event = got[1][0][1]
+    assert isinstance(event, i.Outcome)
+    assert event.result is result and event.used is None and event.final
+
+
+def test_every_action_encodes() -> None:
+    actions: list[i.Action | wire.Crash] = [
+        i.Send(8, 77, 0.25), i.Refuse(8, 0.5), i.Fail(8), i.Cancel(8, 1), i.SetTimer(0.5, 77), i.Probe(77),
+        i.CloseIdle(77), i.Tell(None, b"hi"), i.Log("node"), wire.Crash("oops"), i.Watch(True), i.FetchList()]
+    records, tail = read_reply(wire.encode([(3, a) for a in actions]))
+    expected = [
+        struct.pack(">BIIId", 1, 3, 8, 77, 0.25), struct.pack(">BIId", 2, 3, 8, 0.5),
+        struct.pack(">BII", 3, 3, 8), struct.pack(">BIIH", 4, 3, 8, 1), struct.pack(">BIdQ", 5, 3, 0.5, 77),
+        struct.pack(">BII", 6, 3, 77), struct.pack(">BII", 7, 3, 77),
+        struct.pack(">BIIII", 8, 3, 0xFFFFFFFF, 0, 2), struct.pack(">BIII", 9, 3, 2, 4),
+        struct.pack(">BIII", 10, 3, 6, 4), struct.pack(">BIB", 11, 3, 1), struct.pack(">BI", 12, 3)]
+    assert records == [e.ljust(24, b"\0") for e in expected]
+    assert tail == b"hinodeoops"
+
+
+def test_empty_batch_and_its_reply() -> None:
+    raw = bytes.fromhex("0000000c000000004020d3126e978d50")
+    assert wire.read_batch(io.BytesIO(raw)) == (pytest.approx(8.41225, abs=1e-4), [])
+    assert wire.encode([]) == bytes(8)
+
+
+def test_end_between_frames_is_the_end() -> None:
+    assert wire.read_batch(io.BytesIO(b"")) is None
+
+
+@pytest.mark.parametrize(("raw", "words"), [
+    (b"\0\0", "offset 2: expected the length"),
+    (struct.pack(">I", 5) + bytes(5), "offset 0: expected a length of at least 12"),
+    (struct.pack(">I", 40) + bytes(10), "offset 14: expected 40 bytes"),
+    (struct.pack(">I", 40), "offset 4: expected 40 bytes"),
+    (batch(1.0, [record(99, "I", 3)]), "offset 16: expected an event code from 1 to 10, found 99"),
+    (struct.pack(">IId", 12, 1, 1.0), "offset 4: expected room for 1 records"),
+    (batch(1.0, [record(7, "IBQII", 3, 2, 41, 0, 1)]), "offset 16: expected 22 bytes in the tail"),
+    (batch(1.0, [record(7, "IBQII", 3, 9, 41, 0, 0)]), "offset 16: expected a known value in event 7"),
+])
+def test_bad_frames_say_where_and_what(raw: bytes, words: str) -> None:
+    with pytest.raises(wire.WireError, match=words):
+        wire.read_batch(io.BytesIO(raw))
+
+
+def test_settings_read_and_unknown_keys_are_ignored() -> None:
+    s = read_settings(CONF)
+    assert s.heads == 3 and s.must_ask and s.extra_free == 3.0 and s.extra_ratio == 0.1
+    assert [c.effect for c in s.classes] == [i.Effect.SAFE, i.Effect.KEYED]
+    assert s.classes[1].ordered and s.classes[1].writes and not s.classes[0].writes
+    assert s.plans[0].limit == 30.0 and s.plans[0].reserve == 0.0
+
+
+@pytest.mark.parametrize(("old", "new", "named"), [
+    ("siblings=3\n", "", "siblings is missing"), ("tick=0.002", "tick=soon", "tick is not a number"),
+    ("classes.0.aim=0.4", "classes.0.aim=nan", "classes.0.aim is not a number"),
+    ("repeat=free", "repeat=maybe", "classes.0.repeat is unknown"),
+    ("fifo_by_key=true", "fifo_by_key=yes", "classes.1.fifo_by_key is neither")])
+def test_bad_settings_are_named_and_reported_as_a_crash(old: str, new: str, named: str) -> None:
+    conf = CONF.replace(old, new)
+    with pytest.raises(SettingsError, match=named):
+        read_settings(conf)
+    (who, action), = Host().batch(1.0, [(3, wire.Start(1, conf))])
+    assert who == 3 and isinstance(action, wire.Crash) and named in action.text
+
+
+def test_an_error_in_the_decisions_is_reported() -> None:
+    host = Host()
+    host.batch(1.0, [(3, wire.Start(1, CONF))])
+    host.heads[3].handle = lambda now, event: 1 / 0  # type: ignore
+    (_, action), = host.batch(1.1, [(3, i.Timer(0))])
+    assert action == wire.Crash("ZeroDivisionError: division by zero")
+
+
+def test_instances_are_apart_and_a_restart_in_one_batch_starts_afresh() -> None:
+    host = Host()
+    rows = (i.ListEntry(77, 0, 0, 2, i.Phase.READY, 1.0, 0.0),)
+    up: list[tuple[int, wire.WireEvent]] = [(3, wire.Start(1, CONF)), (3, i.NodeList(i.ListKind.SAVED, 1, rows))]
+    request = i.Request(8, 0, 0, 0, 2.0, 9, 2.0, 2, 1, False, False)
+    host.batch(1.0, [*up, (4, wire.Start(2, CONF))])
+    host.batch(1.1, [(3, request)])
+    assert 8 in host.heads[3].jobs and not host.heads[4].jobs
+    host.batch(1.2, [(3, wire.Stop()), *up])
+    assert not host.heads[3].jobs
+    assert host.batch(1.3, [(5, i.Timer(0))]) == []
+
+
+def deploy_command() -> str:
+    return str(tomllib.loads((ROOT / "deploy/balancer.toml").read_text())["sim"])
+
+
+def talk(data: bytes) -> subprocess.CompletedProcess[bytes]:
+    return subprocess.run(["/bin/sh", "-c", deploy_command()], cwd=ROOT, input=data, capture_output=True,
+                          timeout=60, check=False)
+
+
+def test_deploy_command_answers_batches_and_ends_with_its_input() -> None:
+    conf = CONF.encode()
+    saved = record(7, "IBQII", 3, 0, 41, len(conf), 1)
+    data = batch(0.0, []) + batch(1.0, [start(), saved], conf + ENTRY) + batch(1.5, [call(3, 8), call(3, 9)])
+    got = talk(data)
+    assert got.returncode == 0 and got.stderr == b""
+    replies, rest = [], got.stdout
+    while rest:
+        length = 8 + struct.unpack_from(">II", rest)[1]
+        replies.append(read_reply(rest[:length])[0])
+        rest = rest[length:]
+    assert [len(r) > 0 for r in replies] == [False, True, True]
+    assert replies[1][0][0] == 11
+
+
+def test_deploy_command_says_what_is_wrong_without_a_traceback() -> None:
+    got = talk(batch(1.0, [record(99, "I", 3)]))
+    assert got.returncode != 0 and got.stdout == b""
+    assert got.stderr.count(b"\n") == 1 and b"offset 16" in got.stderr and b"Traceback" not in got.stderr
