--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,4 +1,5 @@
 """Shared by all tests: settings and heads built by hand, far from any site's figures."""
+
 from __future__ import annotations
 
 from collections import deque
@@ -36,28 +37,74 @@
 
 
 def make_class(**change: Any) -> RequestClass:
-    base: dict[str, Any] = dict(
-        name="c", aim=1.0, deadline=4.0, worth=1.0, late_worth=0.1, effect=Effect.SAFE, group=Group.ALL,
-        window=2.0, writes=False, stream=False, ordered=False)
+    base: dict[str, Any] = {
+        "name": "c",
+        "aim": 1.0,
+        "deadline": 4.0,
+        "worth": 1.0,
+        "late_worth": 0.1,
+        "effect": Effect.SAFE,
+        "group": Group.ALL,
+        "window": 2.0,
+        "writes": False,
+        "stream": False,
+        "ordered": False,
+    }
     return RequestClass(**(base | change))
 
 
 def make_plan(**change: Any) -> Plan:
-    base: dict[str, Any] = dict(
-        name="p", rate=10.0, reserve=0.0, weight=1.0, worth_factor=1.0, limit=0.0, limit_depth=0.0,
-        limit_slack=0.0)
+    base: dict[str, Any] = {
+        "name": "p",
+        "rate": 10.0,
+        "reserve": 0.0,
+        "weight": 1.0,
+        "worth_factor": 1.0,
+        "limit": 0.0,
+        "limit_depth": 0.0,
+        "limit_slack": 0.0,
+    }
     return Plan(**(base | change))
 
 
 def make_settings(**change: Any) -> Settings:
-    base: dict[str, Any] = dict(
-        classes=(make_class(),), plans=(make_plan(),), heads=1, me=0, zone=0, must_ask=False,
-        must_ask_in=8.0, drain_grace=1.0, answer_slack=0.01, fall=2.0, fall_multiple=2.0,
-        cold_capacity=0.25, warm_after=10.0, young_limit=16.0, mean_units=2.0, largest_units=8.0, cells=3,
-        share_worth=0.3, spare_worth=0.1, meter=1.0, tells_others=False, try_limit=4, second_copies=False,
-        may_cancel=True, may_probe=False, peers=False, retry_after=True, max_retry_after=0.5,
-        connect_timeout=0.25, tick=0.002, extra_free=None, extra_ratio=0.0, extra_span=0.0,
-        settle_after_doubt=0.0, load_fields=())
+    base: dict[str, Any] = {
+        "classes": (make_class(),),
+        "plans": (make_plan(),),
+        "heads": 1,
+        "me": 0,
+        "zone": 0,
+        "must_ask": False,
+        "must_ask_in": 8.0,
+        "drain_grace": 1.0,
+        "answer_slack": 0.01,
+        "fall": 2.0,
+        "fall_multiple": 2.0,
+        "cold_capacity": 0.25,
+        "warm_after": 10.0,
+        "young_limit": 16.0,
+        "mean_units": 2.0,
+        "largest_units": 8.0,
+        "cells": 3,
+        "share_worth": 0.3,
+        "spare_worth": 0.1,
+        "meter": 1.0,
+        "tells_others": False,
+        "try_limit": 4,
+        "second_copies": False,
+        "may_cancel": True,
+        "may_probe": False,
+        "peers": False,
+        "retry_after": True,
+        "max_retry_after": 0.5,
+        "connect_timeout": 0.25,
+        "tick": 0.002,
+        "extra_free": None,
+        "extra_ratio": 0.0,
+        "extra_span": 0.0,
+        "settle_after_doubt": 0.0,
+        "load_fields": (),
+    }
     return Settings(**(base | change))
 
 
@@ -68,8 +115,9 @@
 class Head:
     """A controller with its clock, its timers and a ledger of what it did."""
 
-    def __init__(self, settings: Settings, nodes: int = 1, now: float = 100.0, seed: int = 1,
-                 live: bool = True) -> None:
+    def __init__(
+        self, settings: Settings, nodes: int = 1, now: float = 100.0, seed: int = 1, live: bool = True
+    ) -> None:
         self.control = Controller(settings, seed)
         self.now = now
         self.timers: list[tuple[float, int]] = []
@@ -78,7 +126,7 @@
         self.tries: dict[int, int] = {}
         self.logs: list[Action] = []
         self.ids = 0
-        self.asked: dict[int, float] = {}      # units by request
+        self.asked: dict[int, float] = {}  # units by request
         rows = tuple(entry(10 + k, k) for k in range(nodes))
         self.give(NodeList(ListKind.SAVED, 1, rows))
         if live:
@@ -105,15 +153,31 @@
             self.give(Timer(due[0][1]))
         self.now = max(self.now, until)
 
-    def ask(self, volume: int = 1, cell: int = 0, units: float = 2.0, extent: int = 0, cls: int = 0,
-            plan: int = 0, heads: int = 1, patience: float = 4.0, repeat: bool = False) -> int:
+    def ask(
+        self,
+        volume: int = 1,
+        cell: int = 0,
+        units: float = 2.0,
+        extent: int = 0,
+        cls: int = 0,
+        plan: int = 0,
+        heads: int = 1,
+        patience: float = 4.0,
+        repeat: bool = False,
+    ) -> int:
         self.ids += 1
         self.asked[self.ids] = units
         self.give(Request(self.ids, cls, plan, extent, patience, volume, units, cell, heads, repeat, False))
         return self.ids
 
-    def answer(self, ident: int, result: Result = Result.SERVED, took: float = 0.05,
-               final: bool | None = None, used: float | None = None) -> list[Action]:
+    def answer(
+        self,
+        ident: int,
+        result: Result = Result.SERVED,
+        took: float = 0.05,
+        final: bool | None = None,
+        used: float | None = None,
+    ) -> list[Action]:
         node = next(s.node for _, s in reversed(self.sends) if s.id == ident)
         last = result is Result.SERVED if final is None else final
         return self.give(Outcome(ident, self.tries[ident] - 1, node, took, result, last, 0, used, None))
@@ -137,4 +201,5 @@
 def head() -> Callable[..., Head]:
     def build(nodes: int = 1, **change: Any) -> Head:
         return Head(make_settings(**change), nodes)
+
     return build
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -1,4 +1,5 @@
 """The ordinary path: tags, weights, runs, bound, placement."""
+
 from __future__ import annotations
 
 from collections.abc import Callable
@@ -12,14 +13,12 @@
 
 def drain(h: Head, took: Callable[[int], float], rounds: int) -> list[int]:
     """Answer what is out, oldest first, each after its own time; the order of all sends."""
-    answered = 0
-    for _ in range(rounds):
-        if answered >= len(h.sends):
+    for turn in range(rounds):
+        if turn >= len(h.sends):
             break
-        ident = h.sends[answered][1].id
+        ident = h.sends[turn][1].id
         h.run(h.now + took(ident))
         h.answer(ident)
-        answered += 1
     return h.sent()
 
 
@@ -84,7 +83,7 @@
     run = [h.ask(1, extent=7, patience=60.0) for _ in range(control.RUN_LIMIT + 3)]
     other = [h.ask(2, extent=9, patience=60.0) for _ in range(2)]
     order = drain(h, lambda _: 0.05, control.RUN_LIMIT + 1)
-    assert order[:control.RUN_LIMIT] == run[:control.RUN_LIMIT]
+    assert order[: control.RUN_LIMIT] == run[: control.RUN_LIMIT]
     assert order[control.RUN_LIMIT] == other[0]
 
 
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -1,4 +1,5 @@
 """The seven rules, each by the module alone."""
+
 from __future__ import annotations
 
 from collections.abc import Callable
@@ -76,7 +77,9 @@
 
 
 @pytest.mark.parametrize("result", MAYBE)
-def test_unsafe_that_may_have_run_fails_and_never_goes_again(head: Callable[..., Head], result: Result) -> None:
+def test_unsafe_that_may_have_run_fails_and_never_goes_again(
+    head: Callable[..., Head], result: Result
+) -> None:
     h = head(classes=(make_class(effect=Effect.UNSAFE),))
     ident = h.ask(1)
     h.answer(ident, result)
@@ -281,8 +284,19 @@
 LIMITED = make_plan(limit=20.0, limit_depth=48.0, limit_slack=8.0)
 
 
-@given(st.lists(st.tuples(st.integers(0, 2), st.sampled_from([1.0, 3.0, 8.0]), st.floats(0, 0.2),
-                          st.integers(0, 30), st.booleans()), min_size=20, max_size=120))
+@given(
+    st.lists(
+        st.tuples(
+            st.integers(0, 2),
+            st.sampled_from([1.0, 3.0, 8.0]),
+            st.floats(0, 0.2),
+            st.integers(0, 30),
+            st.booleans(),
+        ),
+        min_size=20,
+        max_size=120,
+    )
+)
 def test_limit_holds_over_all_heads_with_loans_losses_and_restarts(steps: list[Any]) -> None:
     settings = make_settings(plans=(LIMITED,), heads=3, peers=True)
     heads = [Head(settings, nodes=2, seed=k) for k in range(3)]
@@ -353,22 +367,45 @@
 
 odd = st.one_of(
     st.builds(PeerMessage, st.integers(0, 9), st.binary(max_size=20)),
-    st.builds(Outcome, st.integers(0, 40), st.integers(0, 3), st.sampled_from([10, 11, 99]),
-              st.floats(), st.sampled_from(list(Result)), st.booleans(), st.integers(0, 65535),
-              st.one_of(st.none(), st.floats()), st.none()),
+    st.builds(
+        Outcome,
+        st.integers(0, 40),
+        st.integers(0, 3),
+        st.sampled_from([10, 11, 99]),
+        st.floats(),
+        st.sampled_from(list(Result)),
+        st.booleans(),
+        st.integers(0, 65535),
+        st.one_of(st.none(), st.floats()),
+        st.none(),
+    ),
     st.builds(ClientGone, st.integers(0, 40)),
     st.builds(Timer, st.integers(0, 9)),
-    st.builds(NodeList, st.sampled_from(list(ListKind)), st.integers(0, 9), st.lists(
-        st.builds(entry, st.integers(10, 14), st.integers(0, 2), st.sampled_from(list(Phase)), st.floats()),
-        max_size=4).map(tuple)),
+    st.builds(
+        NodeList,
+        st.sampled_from(list(ListKind)),
+        st.integers(0, 9),
+        st.lists(
+            st.builds(
+                entry, st.integers(10, 14), st.integers(0, 2), st.sampled_from(list(Phase)), st.floats()
+            ),
+            max_size=4,
+        ).map(tuple),
+    ),
     st.integers(0, 2),
 )
 
 
 @given(st.lists(st.tuples(odd, st.floats(0, 0.4)), max_size=60), st.sampled_from(list(Effect)))
 def test_nothing_that_is_told_makes_a_head_raise_or_lose_a_request(steps: list[Any], effect: Effect) -> None:
-    h = Head(make_settings(classes=(make_class(effect=effect, group=Group.CELL),), peers=True,
-                           plans=(LIMITED, make_plan(reserve=5.0))), nodes=2)
+    h = Head(
+        make_settings(
+            classes=(make_class(effect=effect, group=Group.CELL),),
+            peers=True,
+            plans=(LIMITED, make_plan(reserve=5.0)),
+        ),
+        nodes=2,
+    )
     owed: dict[int, float] = {}
     gone: set[int] = set()
     for event, pause in steps:
--- a/tests/test_shape.py
+++ b/tests/test_shape.py
@@ -1,4 +1,5 @@
 """The module stays small enough to be read in one sitting."""
+
 from pathlib import Path
 
 ROOT = Path(__file__).parent.parent
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -1,4 +1,5 @@
 """The codec by bytes written here, bad frames, the settings text, and the deploy file's own command."""
+
 from __future__ import annotations
 
 import io
@@ -84,15 +85,20 @@
 def read_reply(data: bytes) -> tuple[list[bytes], bytes]:
     count, length = struct.unpack_from(">II", data)
     assert length == len(data) - 8
-    return [data[8 + 24 * k:32 + 24 * k] for k in range(count)], data[8 + 24 * count:]
+    return [data[8 + 24 * k : 32 + 24 * k] for k in range(count)], data[8 + 24 * count :]
 
 
 def test_every_event_decodes() -> None:
     conf = CONF.encode()
     records = [
-        start(), record(2, "IIBdB4f", 3, 77, 10, 0.25, 1, 14.5, 0, 0, 0), call(3, 8),
-        record(4, "IHII", 3, 2, len(conf), 2), record(5, "IQ", 3, 77), record(6, "I", 3),
-        record(7, "IBQII", 3, 2, 41, len(conf) + 2, 1), record(8, "II", 3, 8),
+        start(),
+        record(2, "IIBdB4f", 3, 77, 10, 0.25, 1, 14.5, 0, 0, 0),
+        call(3, 8),
+        record(4, "IHII", 3, 2, len(conf), 2),
+        record(5, "IQ", 3, 77),
+        record(6, "I", 3),
+        record(7, "IBQII", 3, 2, 41, len(conf) + 2, 1),
+        record(8, "II", 3, 8),
         record(9, "IIHId", 3, 8, 1, 77, 0.5),
         record(10, "IIIHdBHHBB4f", 3, 8, 77, 1, 0.5, 0, 3, 87, 40, 0, 0, 0, 0, 0),
     ]
@@ -101,17 +107,32 @@
     now, events = got
     assert now == 20.5 and [who for who, _ in events] == [3] * 10
     assert [e for _, e in events] == [
-        wire.Start(42, CONF), i.Probed(77, i.Result.SERVED, 0.25, (14.5, 0.0, 0.0, 0.0)),
-        i.Request(8, 0, 0, 5, 2.0, 9, 2.0, 2, 1, True, False), i.PeerMessage(2, b"hi"), i.Timer(77), wire.Stop(),
+        wire.Start(42, CONF),
+        i.Probed(77, i.Result.SERVED, 0.25, (14.5, 0.0, 0.0, 0.0)),
+        i.Request(8, 0, 0, 5, 2.0, 9, 2.0, 2, 1, True, False),
+        i.PeerMessage(2, b"hi"),
+        i.Timer(77),
+        wire.Stop(),
         i.NodeList(i.ListKind.CHANGES, 41, (i.ListEntry(77, 1, 0, 2, i.Phase.READY, 1.5, 6.1),)),
-        i.ClientGone(8), i.Begun(8, 1, 77, 0.5),
+        i.ClientGone(8),
+        i.Begun(8, 1, 77, 0.5),
         i.Outcome(8, 1, 77, 0.5, i.Result.TIMED_OUT, False, 3, 0.86, None),
     ]
 
 
-@pytest.mark.parametrize(("code", "result"), [
-    (10, i.Result.SERVED), (20, i.Result.ERROR), (30, i.Result.FULL), (40, i.Result.TIMED_OUT),
-    (50, i.Result.UNREACHED), (60, i.Result.BROKEN), (70, i.Result.CANCELLED), (80, i.Result.MOOT)])
+@pytest.mark.parametrize(
+    ("code", "result"),
+    [
+        (10, i.Result.SERVED),
+        (20, i.Result.ERROR),
+        (30, i.Result.FULL),
+        (40, i.Result.TIMED_OUT),
+        (50, i.Result.UNREACHED),
+        (60, i.Result.BROKEN),
+        (70, i.Result.CANCELLED),
+        (80, i.Result.MOOT),
+    ],
+)
 def test_every_outcome_code(code: int, result: i.Result) -> None:
     raw = record(10, "IIIHdBHHBB4f", 3, 8, 77, 0, 0.5, 1, 0, 0, code, 0, 0, 0, 0, 0)
     got = wire.read_batch(io.BytesIO(batch(1.0, [raw])))
@@ -123,15 +144,34 @@
 
 def test_every_action_encodes() -> None:
     actions: list[i.Action | wire.Crash] = [
-        i.Send(8, 77, 0.25), i.Refuse(8, 0.5), i.Fail(8), i.Cancel(8, 1), i.SetTimer(0.5, 77), i.Probe(77),
-        i.CloseIdle(77), i.Tell(None, b"hi"), i.Log("node"), wire.Crash("oops"), i.Watch(True), i.FetchList()]
+        i.Send(8, 77, 0.25),
+        i.Refuse(8, 0.5),
+        i.Fail(8),
+        i.Cancel(8, 1),
+        i.SetTimer(0.5, 77),
+        i.Probe(77),
+        i.CloseIdle(77),
+        i.Tell(None, b"hi"),
+        i.Log("node"),
+        wire.Crash("oops"),
+        i.Watch(True),
+        i.FetchList(),
+    ]
     records, tail = read_reply(wire.encode([(3, a) for a in actions]))
     expected = [
-        struct.pack(">BIIId", 1, 3, 8, 77, 0.25), struct.pack(">BIId", 2, 3, 8, 0.5),
-        struct.pack(">BII", 3, 3, 8), struct.pack(">BIIH", 4, 3, 8, 1), struct.pack(">BIdQ", 5, 3, 0.5, 77),
-        struct.pack(">BII", 6, 3, 77), struct.pack(">BII", 7, 3, 77),
-        struct.pack(">BIIII", 8, 3, 0xFFFFFFFF, 0, 2), struct.pack(">BIII", 9, 3, 2, 4),
-        struct.pack(">BIII", 10, 3, 6, 4), struct.pack(">BIB", 11, 3, 1), struct.pack(">BI", 12, 3)]
+        struct.pack(">BIIId", 1, 3, 8, 77, 0.25),
+        struct.pack(">BIId", 2, 3, 8, 0.5),
+        struct.pack(">BII", 3, 3, 8),
+        struct.pack(">BIIH", 4, 3, 8, 1),
+        struct.pack(">BIdQ", 5, 3, 0.5, 77),
+        struct.pack(">BII", 6, 3, 77),
+        struct.pack(">BII", 7, 3, 77),
+        struct.pack(">BIIII", 8, 3, 0xFFFFFFFF, 0, 2),
+        struct.pack(">BIII", 9, 3, 2, 4),
+        struct.pack(">BIII", 10, 3, 6, 4),
+        struct.pack(">BIB", 11, 3, 1),
+        struct.pack(">BI", 12, 3),
+    ]
     assert records == [e.ljust(24, b"\0") for e in expected]
     assert tail == b"hinodeoops"
 
@@ -146,16 +186,19 @@
     assert wire.read_batch(io.BytesIO(b"")) is None
 
 
-@pytest.mark.parametrize(("raw", "words"), [
-    (b"\0\0", "offset 2: expected the length"),
-    (struct.pack(">I", 5) + bytes(5), "offset 0: expected a length of at least 12"),
-    (struct.pack(">I", 40) + bytes(10), "offset 14: expected 40 bytes"),
-    (struct.pack(">I", 40), "offset 4: expected 40 bytes"),
-    (batch(1.0, [record(99, "I", 3)]), "offset 16: expected an event code from 1 to 10, found 99"),
-    (struct.pack(">IId", 12, 1, 1.0), "offset 4: expected room for 1 records"),
-    (batch(1.0, [record(7, "IBQII", 3, 2, 41, 0, 1)]), "offset 16: expected 22 bytes in the tail"),
-    (batch(1.0, [record(7, "IBQII", 3, 9, 41, 0, 0)]), "offset 16: expected a known value in event 7"),
-])
+@pytest.mark.parametrize(
+    ("raw", "words"),
+    [
+        (b"\0\0", "offset 2: expected the length"),
+        (struct.pack(">I", 5) + bytes(5), "offset 0: expected a length of at least 12"),
+        (struct.pack(">I", 40) + bytes(10), "offset 14: expected 40 bytes"),
+        (struct.pack(">I", 40), "offset 4: expected 40 bytes"),
+        (batch(1.0, [record(99, "I", 3)]), "offset 16: expected an event code from 1 to 10, found 99"),
+        (struct.pack(">IId", 12, 1, 1.0), "offset 4: expected room for 1 records"),
+        (batch(1.0, [record(7, "IBQII", 3, 2, 41, 0, 1)]), "offset 16: expected 22 bytes in the tail"),
+        (batch(1.0, [record(7, "IBQII", 3, 9, 41, 0, 0)]), "offset 16: expected a known value in event 7"),
+    ],
+)
 def test_bad_frames_say_where_and_what(raw: bytes, words: str) -> None:
     with pytest.raises(wire.WireError, match=words):
         wire.read_batch(io.BytesIO(raw))
@@ -169,16 +212,21 @@
     assert s.plans[0].limit == 30.0 and s.plans[0].reserve == 0.0
 
 
-@pytest.mark.parametrize(("old", "new", "named"), [
-    ("siblings=3\n", "", "siblings is missing"), ("tick=0.002", "tick=soon", "tick is not a number"),
-    ("classes.0.aim=0.4", "classes.0.aim=nan", "classes.0.aim is not a number"),
-    ("repeat=free", "repeat=maybe", "classes.0.repeat is unknown"),
-    ("fifo_by_key=true", "fifo_by_key=yes", "classes.1.fifo_by_key is neither")])
+@pytest.mark.parametrize(
+    ("old", "new", "named"),
+    [
+        ("siblings=3\n", "", "siblings is missing"),
+        ("tick=0.002", "tick=soon", "tick is not a number"),
+        ("classes.0.aim=0.4", "classes.0.aim=nan", "classes.0.aim is not a number"),
+        ("repeat=free", "repeat=maybe", "classes.0.repeat is unknown"),
+        ("fifo_by_key=true", "fifo_by_key=yes", "classes.1.fifo_by_key is neither"),
+    ],
+)
 def test_bad_settings_are_named_and_reported_as_a_crash(old: str, new: str, named: str) -> None:
     conf = CONF.replace(old, new)
     with pytest.raises(SettingsError, match=named):
         read_settings(conf)
-    (who, action), = Host().batch(1.0, [(3, wire.Start(1, conf))])
+    ((who, action),) = Host().batch(1.0, [(3, wire.Start(1, conf))])
     assert who == 3 and isinstance(action, wire.Crash) and named in action.text
 
 
@@ -186,14 +234,17 @@
     host = Host()
     host.batch(1.0, [(3, wire.Start(1, CONF))])
     host.heads[3].handle = lambda now, event: 1 / 0  # type: ignore
-    (_, action), = host.batch(1.1, [(3, i.Timer(0))])
+    ((_, action),) = host.batch(1.1, [(3, i.Timer(0))])
     assert action == wire.Crash("ZeroDivisionError: division by zero")
 
 
 def test_instances_are_apart_and_a_restart_in_one_batch_starts_afresh() -> None:
     host = Host()
     rows = (i.ListEntry(77, 0, 0, 2, i.Phase.READY, 1.0, 0.0),)
-    up: list[tuple[int, wire.WireEvent]] = [(3, wire.Start(1, CONF)), (3, i.NodeList(i.ListKind.SAVED, 1, rows))]
+    up: list[tuple[int, wire.WireEvent]] = [
+        (3, wire.Start(1, CONF)),
+        (3, i.NodeList(i.ListKind.SAVED, 1, rows)),
+    ]
     request = i.Request(8, 0, 0, 0, 2.0, 9, 2.0, 2, 1, False, False)
     host.batch(1.0, [*up, (4, wire.Start(2, CONF))])
     host.batch(1.1, [(3, request)])
@@ -208,8 +259,14 @@
 
 
 def talk(data: bytes) -> subprocess.CompletedProcess[bytes]:
-    return subprocess.run(["/bin/sh", "-c", deploy_command()], cwd=ROOT, input=data, capture_output=True,
-                          timeout=60, check=False)
+    return subprocess.run(
+        ["/bin/sh", "-c", deploy_command()],
+        cwd=ROOT,
+        input=data,
+        capture_output=True,
+        timeout=60,
+        check=False,
+    )
 
 
 def test_deploy_command_answers_batches_and_ends_with_its_input() -> None:
