--- a/fawnspool/control.py
+++ b/fawnspool/control.py
@@ -20,10 +20,10 @@
 
 RECENT = 16              # responses in a volume's mean (the paper's N): long enough to smooth one pause
 RUN_LIMIT = 12           # requests of one extent in a row: longer runs would shut out other volumes
-TARGET_SHARE = 0.5       # part of the least aim that a response at a node may take: the rest waits here
+TARGET_SHARE = 0.35      # part of the least aim that a response at a node may take: the rest waits here
 GAIN = 0.1               # smoothing of the node's mean response and of its bound, per completion
 PULL = 0.2               # requests by which a bound seeks more room at each step (PARDA's beta)
-BOUND_ALL = 16.0         # requests out at one node from all heads, at most: beyond it only queues grow
+BOUND_ALL = 12.0         # requests out at one node from all heads, at most: beyond it only queues grow
 START_BOUND = 2.0        # requests out at a node that has told nothing yet: one to run, one to follow
 TICKS_PER_AIM = 8        # looks at all queues within the least aim: a late look costs an eighth of it
 TRIAL_MOST_S = 1.0       # longest pause between trials of a failed node, seconds: its return is found within
