Give a run that goes on one place more at its node

Cause: a node remembers few extents, and with one or two places a head's run was split by others' requests.

--- a/fawnspool/control.py
+++ b/fawnspool/control.py
@@ -59,6 +59,9 @@
     over: bool = False
     tries: list[_Attempt] = field(default_factory=list)
 
+    def here(self) -> tuple[int, int]:
+        return self.req.volume, self.req.extent
+
     def doubt(self) -> list[_Attempt]:
         return [t for t in self.tries if t.maybe_ran]
 
@@ -175,8 +178,7 @@
         if node == lane.node:
             return
         lane.node, lane.bound, lane.response, lane.born = node, START_BOUND, 0.0, None
-        lane.failed, lane.shut = 0, False
-        lane.out, lane.extent, lane.heard = {}, (0, 0), self.now
+        lane.failed, lane.shut, lane.out, lane.run, lane.heard = 0, False, {}, 0, self.now
         lane.fed.clear()
         for flow in lane.flows.values():
             flow.out = 0
@@ -302,14 +304,14 @@
     def _turn(self, lane: _Lane) -> None:
         """Send while the bound has room, whatever the forecast says: a node that looks too slow is only
         found well again by an answer. Then turn away what can't be served in time."""
-        while len(lane.out) < self._room(lane) and (job := self._next(lane)):
+        while (job := self._next(lane)) and len(lane.out) < self._room(lane, job):
             self._send(job, lane)
         if lane.sound():
             self._shed(lane)
 
-    def _room(self, lane: _Lane) -> int:
-        if lane.sound():
-            return max(1, int(lane.bound))
+    def _room(self, lane: _Lane, job: _Job) -> int:
+        if lane.sound():    # one place more for a run that goes on: it costs less while the node remembers it
+            return max(1, int(lane.bound)) + (job.here() == lane.extent and 0 < lane.run < RUN_LIMIT)
         # Half open: one request tries the node, once its pause is over.
         return int(lane.node is not None and self.now >= lane.trial_at)
 
@@ -317,8 +319,8 @@
         """The run of the last extent first, else the volume with the smallest tag."""
         tags = sorted((self._tag(f, lane), volume) for volume, f in lane.flows.items() if f.queue)
         order = [job for _, volume in tags for job in lane.flows[volume].queue]
-        if lane.run < RUN_LIMIT and lane.extent[1]:
-            order.sort(key=lambda job: (job.req.volume, job.req.extent) != lane.extent)
+        if 0 < lane.run < RUN_LIMIT:
+            order.sort(key=lambda job: job.here() != lane.extent)
         return next((job for job in order if self._sendable(job, lane)), None)
 
     def _tag(self, flow: _Flow, lane: _Lane) -> float:
@@ -352,8 +354,8 @@
         if job.tries and self.s.extra_free is not None:
             self.extras.append(self.now)
         lane.fed.append((self.now, job.req.units))
-        here = (job.req.volume, job.req.extent)
-        lane.run, lane.extent = lane.run + 1 if here == lane.extent else 1, here
+        lane.run = (lane.run + 1 if job.here() == lane.extent else 1) if job.req.extent else 0
+        lane.extent = job.here()
         lane.heard = lane.heard if lane.out else self.now
         lane.out[job.req.id, len(job.tries)] = self.now
         flow.out += 1
@@ -627,5 +629,4 @@
             idle = [v for v, f in lane.flows.items() if not (f.queue or f.out or f.used >= self.now - IDLE_S)]
             for volume in idle:
                 del lane.flows[volume]
-        for key in [k for k, until in self.settling.items() if until <= self.now]:
-            del self.settling[key]
+        self.settling = {key: until for key, until in self.settling.items() if until > self.now}
