--- a/fawnspool/control.py
+++ b/fawnspool/control.py
@@ -215,7 +215,8 @@
         if plan.limit and self._lack(req.volume, volume) + req.units > supply * (job.wanted - self.now):
             return self._end(job)   # beyond its limit: earns nothing, so it costs nothing either
         lane = self.lanes.get(req.cell) if req.cell >= 0 else self._place(job)
-        return self._offer(job, lane) if lane else self._end(job)
+        late = lane is not None and job.rank == 2 and lane.held() > 0    # what others wait for is no place for it
+        return self._offer(job, lane) if lane and not late else self._end(job)
 
     def _offer(self, job: _Job, lane: _Lane, front: bool = False) -> None:
         """Hold the job, send what the bound lets. What stays held with too little time for two looks ends
@@ -488,8 +489,7 @@
         """Bad signs in a row, no answer between: hold back, then try with one request after a pause that
         doubles. Guards against any node that takes no work, whatever the cause; a lossy path to a live node
         shows single resets only. Harm: work waits for the next trial at a node just recovered."""
-        if not lane.failed:
-            lane.away = self.now
+        lane.away = lane.away if lane.failed else self.now
         lane.failed += signs
         if lane.failed < SIGNS:
             return
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -60,6 +60,19 @@
     assert isinstance(h.ends[ident], Fail)
 
 
+def test_late_repeat_is_refused_at_once_where_others_wait(head: Callable[..., Head]) -> None:
+    """Brasov incident of a surge with retries: late repeats took places from what could be in time."""
+    h = head().warm()
+    while not h.control.lanes[0].held():
+        h.ask(1)
+    assert isinstance(h.ends[h.ask(2, patience=2.0, repeat=True)], Refuse)
+
+
+def test_late_repeat_is_served_by_an_idle_node(head: Callable[..., Head]) -> None:
+    h = head().warm()
+    assert h.ask(2, patience=2.0, repeat=True) in h.sent()
+
+
 def test_nothing_goes_out_after_the_client_left(head: Callable[..., Head]) -> None:
     h = head()
     a, b, c = h.ask(1), h.ask(1), h.ask(1)
