--- a/fawnspool/control.py
+++ b/fawnspool/control.py
@@ -215,7 +215,7 @@
         if plan.limit and self._lack(req.volume, volume) + req.units > supply * (job.wanted - self.now):
             return self._end(job)   # beyond its limit: earns nothing, so it costs nothing either
         lane = self.lanes.get(req.cell) if req.cell >= 0 else self._place(job)
-        late = lane is not None and job.rank == 2 and lane.held() > 0    # what others wait for is no place for it
+        late = lane is not None and job.rank == 2 and lane.held() > 0    # others wait for that place
         return self._offer(job, lane) if lane and not late else self._end(job)
 
     def _offer(self, job: _Job, lane: _Lane, front: bool = False) -> None:
