Refuse at once what a node's last answers say will be late, least worth first

Cause: with hundreds of heads no head's bound binds (one or two places each), so nothing held a node's queue down.

--- a/fawnspool/control.py
+++ b/fawnspool/control.py
@@ -25,6 +25,8 @@
 PULL = 0.2               # requests by which a bound seeks more room at each step (PARDA's beta)
 BOUND_ALL = 12.0         # requests out at one node from all heads, at most: beyond it only queues grow
 START_BOUND = 2.0        # requests out at a node that has told nothing yet: one to run, one to follow
+FRESH_S = 1.0            # an answer this old counts half for its node, seconds: surges come and go in a few
+CROWD = 0.5              # part of the time wanted that a node's response may take, for what is beyond a reserve
 TICKS_PER_AIM = 8        # looks at all queues within the least aim: a late look costs an eighth of it
 TRIAL_MOST_S = 1.0       # longest pause between trials of a failed node, seconds: its return is found within
 SIGNS = 3                # resets or failed connects in a row, no answer between, before suspicion
@@ -80,6 +82,7 @@
     asked: float = 0.0          # when peers were last asked for units of its limit
     lenders: set[int] = field(default_factory=set)
     part: float = 0.0           # share of the volume's use that came through this head
+    use: float = 0.0            # the volume's whole use as the meter last told, as a share of its rate
 
 
 @dataclass(slots=True, eq=False)
@@ -103,6 +106,7 @@
     flows: OrderedDict[int, _Flow] = field(default_factory=OrderedDict)
     bound: float = START_BOUND
     response: float = 0.0       # mean, seconds
+    seen: float = 0.0           # when it was last measured
     out: dict[tuple[int, int], float] = field(default_factory=dict)   # attempts out, when sent
     extent: tuple[int, int] = (0, 0)                                  # volume and extent sent last
     run: int = 0
@@ -198,7 +202,8 @@
     def _on_request(self, req: Request) -> None:
         cls, plan = self.s.classes[req.cls], self.s.plans[req.plan]
         spent = max(0.0, cls.deadline - req.patience) if req.repeat else 0.0
-        job = _Job(req, cls, plan, self.now + req.patience, self.now + cls.aim - spent, 1)
+        wanted = self.now + min(cls.aim - spent, req.patience)     # some come with less time than the aim
+        job = _Job(req, cls, plan, self.now + req.patience, wanted, 1)
         job.key = req.extent if cls.ordered else 0
         self.jobs[req.id] = job
         if self.s.extra_free is not None:
@@ -215,8 +220,26 @@
         if plan.limit and self._lack(req.volume, volume) + req.units > supply * (job.wanted - self.now):
             return self._end(job)   # beyond its limit: earns nothing, so it costs nothing either
         lane = self.lanes.get(req.cell) if req.cell >= 0 else self._place(job)
-        late = lane is not None and job.rank == 2 and lane.held() > 0    # others wait for that place
-        return self._offer(job, lane) if lane and not late else self._end(job)
+        return self._offer(job, lane) if lane and not self._crowded(job, lane) else self._end(job)
+
+    def _crowded(self, job: _Job, lane: _Lane) -> bool:
+        """Is the node so slow now that a request of this rank is better refused than sent?
+
+        With hundreds of heads no head's bound holds the node's queue down: each has one or two out. What
+        all see is how long answers take. Each leaves out what is worth least first: what is beyond a
+        reserve at a part of the time that what is inside may take, the less the more its volume takes.
+        Drawn around the threshold, so that heads do not all turn at once. Guards against any shortage at a
+        node. Harm: a pause looks like a crowd for as long as its answers are fresh."""
+        if job.rank == 2:
+            return lane.held() > 0      # others wait for that place
+        over = max(1.0, self.volumes[job.req.volume].use)
+        may = (job.wanted - self.now) * (CROWD / over ** 0.5 if job.rank else 1.0)
+        return self._expect(lane) > may * self.random.uniform(0.5, 1.5)
+
+    def _expect(self, lane: _Lane) -> float:
+        """The node's response now: the mean, less the older it is, or the silence of what is out."""
+        faded = lane.response * 0.5 ** ((self.now - lane.seen) / FRESH_S)
+        return max(faded, self.now - lane.heard if lane.out else 0.0)
 
     def _offer(self, job: _Job, lane: _Lane, front: bool = False) -> None:
         """Hold the job, send what the bound lets. What stays held with too little time for two looks ends
@@ -463,7 +486,9 @@
         elif event.result is Result.SERVED or (
                 event.result is Result.TIMED_OUT and lane.heard < attempt.sent):    # else lost on the way
             took = self.now - attempt.sent
-            lane.response += (took - lane.response) * (GAIN if lane.response else 1.0)
+            gain = max(GAIN, 1 - 0.5 ** ((self.now - lane.seen) / FRESH_S))
+            lane.response += (took - lane.response) * (gain if lane.response else 1.0)
+            lane.seen = self.now
             flow.recent.append(took)
             flow.tag += self._step(flow, lane)
             wanted = self.least_aim * TARGET_SHARE / max(lane.response, 1e-3) * lane.bound + PULL
@@ -482,6 +507,7 @@
             span = max(self.s.meter, self.least_aim)
             keep = max(0.0, 1 - (self.now - volume.served) / span)
             volume.mine, volume.served = volume.mine * keep + job.req.units / span, self.now
+        volume.use = volume.use if event.used is None else event.used
         if event.used is not None and event.used * job.plan.rate > 0:
             volume.part = min(1.0, volume.mine / (event.used * job.plan.rate))
 
