--- a/fawnspool/control.py
+++ b/fawnspool/control.py
@@ -106,6 +106,7 @@
     flows: OrderedDict[int, _Flow] = field(default_factory=OrderedDict)
     bound: float = START_BOUND
     response: float = 0.0       # mean, seconds
+    wait: float = 0.0           # part of a response that is not work, lately, seconds
     seen: float = 0.0           # when it was last measured
     out: dict[tuple[int, int], float] = field(default_factory=dict)   # attempts out, when sent
     extent: tuple[int, int] = (0, 0)                                  # volume and extent sent last
@@ -143,6 +144,7 @@
         self.least_aim = min(c.aim for c in settings.classes)
         self.look = self.least_aim / TICKS_PER_AIM
         self.ask_at: float | None = None
+        self.unit_s = 0.0
         self.ticking = self.unsure = False      # a timer is set; only a saved list so far
         self.handlers: dict[type, Callable[[Any], None]] = {
             NodeList: self._on_list, Request: self._on_request, Outcome: self._on_outcome,
@@ -234,12 +236,9 @@
             return lane.held() > 0      # others wait for that place
         over = max(1.0, self.volumes[job.req.volume].use)
         may = (job.wanted - self.now) * (CROWD / over ** 0.5 if job.rank else 1.0)
-        return self._expect(lane) > may * self.random.uniform(0.5, 1.5)
-
-    def _expect(self, lane: _Lane) -> float:
-        """The node's response now: the mean, less the older it is, or the silence of what is out."""
-        faded = lane.response * 0.5 ** ((self.now - lane.seen) / FRESH_S)
-        return max(faded, self.now - lane.heard if lane.out else 0.0)
+        faded = lane.wait * 0.5 ** ((self.now - lane.seen) / FRESH_S)
+        wait = max(faded, self.now - lane.heard if lane.out else 0.0)
+        return wait + self.unit_s * job.req.units > may * self.random.uniform(0.5, 1.5)
 
     def _offer(self, job: _Job, lane: _Lane, front: bool = False) -> None:
         """Hold the job, send what the bound lets. What stays held with too little time for two looks ends
@@ -486,8 +485,12 @@
         elif event.result is Result.SERVED or (
                 event.result is Result.TIMED_OUT and lane.heard < attempt.sent):    # else lost on the way
             took = self.now - attempt.sent
+            lane.response += (took - lane.response) * (GAIN if lane.response else 1.0)
+            # Work a unit: about the lower quarter of what answers took, over all nodes. The rest is waiting.
+            self.unit_s = (self.unit_s or took / job.req.units) * (
+                0.97 if took < self.unit_s * job.req.units else 1.01)
             gain = max(GAIN, 1 - 0.5 ** ((self.now - lane.seen) / FRESH_S))
-            lane.response += (took - lane.response) * (gain if lane.response else 1.0)
+            lane.wait += gain * (max(0.0, took - self.unit_s * job.req.units) - lane.wait)
             lane.seen = self.now
             flow.recent.append(took)
             flow.tag += self._step(flow, lane)
