--- a/fawnspool/control.py
+++ b/fawnspool/control.py
@@ -234,10 +234,12 @@
         node. Harm: a pause looks like a crowd for as long as its answers are fresh."""
         if job.rank == 2:
             return lane.held() > 0      # others wait for that place
+        if self.s.heads * START_BOUND <= BOUND_ALL:
+            return False                # the bounds of so few heads do hold a node's queue down
         over = max(1.0, self.volumes[job.req.volume].use)
-        may = (job.wanted - self.now) * (CROWD / over ** 0.5 if job.rank else 1.0)
+        may = min(job.wanted - self.now, self.least_aim) * (CROWD / min(over, 4.0) ** 0.5 if job.rank else 1.0)
         faded = lane.wait * 0.5 ** ((self.now - lane.seen) / FRESH_S)
-        wait = max(faded, self.now - lane.heard if lane.out else 0.0)
+        wait = max(faded, self.now - lane.heard - lane.response if lane.out else 0.0)
         return wait + self.unit_s * job.req.units > may * self.random.uniform(0.5, 1.5)
 
     def _offer(self, job: _Job, lane: _Lane, front: bool = False) -> None:
