--- a/fawnspool/control.py
+++ b/fawnspool/control.py
@@ -27,6 +27,9 @@
 START_BOUND = 2.0        # requests out at a node that has told nothing yet: one to run, one to follow
 FRESH_S = 1.0            # an answer this old counts half for its node, seconds: surges come and go in a few
 CROWD = 0.5              # part of the time wanted that a node's response may take, for what is beyond a reserve
+CREDIT = 0.5             # part of a limit's rate that comes back as credit for use known to all by the meter
+METER_LATE_S = 2.0       # the meter tells of a period this long after its end at most, seconds
+ASK_ALL_S = 1.0          # pause between calls to every head for units of one limit, seconds
 TICKS_PER_AIM = 8        # looks at all queues within the least aim: a late look costs an eighth of it
 TRIAL_MOST_S = 1.0       # longest pause between trials of a failed node, seconds: its return is found within
 SIGNS = 3                # resets or failed connects in a row, no answer between, before suspicion
@@ -82,9 +85,14 @@
     asked: float = 0.0          # when peers were last asked for units of its limit
     lenders: set[int] = field(default_factory=set)
     part: float = 0.0           # share of the volume's use that came through this head
+    thin: bool = False          # a head's even part of the limit is under the plan's own rate, and none lends
+    told: float = 0.0           # when the meter was last heard
+    low: float = 0.0            # since when it has told, without a gap, of use within CREDIT of the limit
+    owed: deque[tuple[float, float]] = field(default_factory=deque)     # units served: when, how many
     use: float = 0.0            # the volume's whole use as the meter last told, as a share of its rate
 
 
+
 @dataclass(slots=True, eq=False)
 class _Flow:
     """A volume at one node."""
@@ -144,7 +152,7 @@
         self.least_aim = min(c.aim for c in settings.classes)
         self.look = self.least_aim / TICKS_PER_AIM
         self.ask_at: float | None = None
-        self.unit_s = 0.0
+        self.unit_s, self.since = 0.0, -1.0
         self.ticking = self.unsure = False      # a timer is set; only a saved list so far
         self.handlers: dict[type, Callable[[Any], None]] = {
             NodeList: self._on_list, Request: self._on_request, Outcome: self._on_outcome,
@@ -152,6 +160,7 @@
 
     def handle(self, now: float, event: Event) -> list[Action]:
         self.now, self.acts = now, []
+        self.since = now if self.since < 0 else self.since
         if handler := self.handlers.get(type(event)):   # else: an event that tells nothing needed here
             handler(event)
         return self.acts
@@ -257,17 +266,22 @@
         """The volume's state, its buckets filled up to now."""
         volume = self.volumes.get(job.req.volume)
         if volume is None:
-            volume = _Volume(job.plan, max(1, job.req.heads), filled=self.now, served=self.now)
+            # Its part of a limit fills from the head's start on: an earlier life may have drawn it till then.
+            volume = _Volume(job.plan, max(1, job.req.heads), filled=self.since, served=self.now, told=self.now,
+                             low=self.now)
             volume.reserve = self.s.largest_units + job.plan.reserve / volume.heads
             self.volumes[job.req.volume] = volume
         self.volumes.move_to_end(job.req.volume)
         volume.heads = max(volume.heads, job.req.heads)
+        volume.thin = 0 < job.plan.limit < volume.heads * job.plan.rate and self.s.meter > 0 and not self.s.peers
         self._fill(volume)
         return volume
 
     def _fill(self, volume: _Volume) -> None:
         plan, passed = volume.plan, self.now - volume.filled
-        volume.level = min(plan.limit_depth, volume.level * volume.heads + passed * plan.limit) / volume.heads
+        rate = plan.limit * (1 - CREDIT if volume.thin else 1.0)
+        room = plan.limit_depth / volume.heads - sum(units for _, units in volume.owed)
+        volume.level = max(volume.level, min(room, volume.level + passed * rate / volume.heads))
         fill = max(volume.part, 1 / volume.heads) * plan.reserve
         volume.reserve = min(fill + self.s.largest_units, volume.reserve + passed * fill)
         volume.filled = self.now
@@ -278,13 +292,18 @@
                    for j in lane.flows[ident].queue if not j.tries) - volume.level
 
     def _ask(self, ident: int, volume: _Volume) -> None:
-        """Ask the volume's other heads for units of its limit that they do not use."""
-        lack = self._lack(ident, volume)
-        if self.s.peers and volume.heads > 1 and lack > 0 and self.now >= volume.asked + self.look / 2:
+        """Ask for units of the volume's limit that its other heads do not use, as many as have room here.
+
+        Two of those that lent last are asked; an asked one counts as a lender again once it lends. Only
+        with none left all heads are asked, seldom: at size that costs more than the units are worth."""
+        lack = self._lack(ident, volume) + volume.mine * self.least_aim
+        pause = self.look / 2 if volume.lenders else ASK_ALL_S
+        if self.s.peers and volume.heads > 1 and lack > 0 and self.now >= volume.asked + pause:
             volume.asked = self.now
-            known = len(volume.lenders) >= volume.heads - 1
-            body = _PEER.pack(_WANT, ident, lack)
-            self.acts += [Tell(head, body) for head in (sorted(volume.lenders) if known else [None])]
+            body = _PEER.pack(_WANT, ident, max(lack, volume.plan.limit_depth / volume.heads - volume.level))
+            asked = self.random.sample(sorted(volume.lenders), min(2, len(volume.lenders)))
+            volume.lenders -= set(asked)
+            self.acts += [Tell(head, body) for head in asked or [None]]
 
     def _on_peer(self, event: PeerMessage) -> None:
         """Units of a limit move between heads: the lender takes them off before it tells, a lost message
@@ -297,8 +316,9 @@
         if what == _WANT:
             spare = -self._lack(ident, volume) - volume.mine * self.least_aim
             if spare >= 1:
-                volume.level -= min(units, spare)
-                self.acts.append(Tell(event.sender, _PEER.pack(_LEND, ident, min(units, spare))))
+                units = min(units, max(1.0, spare / 2))
+                volume.level -= units
+                self.acts.append(Tell(event.sender, _PEER.pack(_LEND, ident, units)))
         elif what == _LEND:
             volume.lenders.add(event.sender)
             volume.level = min(volume.plan.limit_depth / volume.heads, volume.level + units)
@@ -512,10 +532,27 @@
             span = max(self.s.meter, self.least_aim)
             keep = max(0.0, 1 - (self.now - volume.served) / span)
             volume.mine, volume.served = volume.mine * keep + job.req.units / span, self.now
-        volume.use = volume.use if event.used is None else event.used
+        if event.result is Result.SERVED and volume.thin:
+            volume.owed.append((self.now, job.req.units))
+        if event.used is not None:
+            volume.use = event.used
+            self._credit(volume)
         if event.used is not None and event.used * job.plan.rate > 0:
             volume.part = min(1.0, volume.mine / (event.used * job.plan.rate))
 
+    def _credit(self, volume: _Volume) -> None:
+        """Give back units of the limit that were served here, once the meter shows that all heads together
+        used at most CREDIT of its rate in that time. Every head's even part fills by the rest of the rate, so
+        what comes back to all is within the limit, with no word between them. Only what was served counts,
+        as the meter sees no other; a gap in the meter's reports starts the wait anew."""
+        if volume.use * volume.plan.rate > CREDIT * volume.plan.limit or self.now > volume.told + self.s.meter:
+            volume.low = self.now
+        volume.told = self.now
+        while volume.owed and volume.owed[0][0] <= self.now - self.s.meter - METER_LATE_S:
+            when, units = volume.owed.popleft()
+            if when > volume.low:
+                volume.level = min(volume.plan.limit_depth / volume.heads, volume.level + units)
+
     def _suspect(self, lane: _Lane, signs: int = 1) -> None:
         """Bad signs in a row, no answer between: hold back, then try with one request after a pause that
         doubles. Guards against any node that takes no work, whatever the cause; a lossy path to a live node
@@ -655,7 +692,7 @@
         """Idle volumes leave the tables; a limit's bucket starts empty again, which is never too much."""
         while self.volumes and (len(self.volumes) > VOLUMES_MOST
                                 or next(iter(self.volumes.values())).filled < self.now - IDLE_S):
-            self.volumes.popitem(last=False)
+            self.since = max(self.since, self.volumes.popitem(last=False)[1].filled)
         for lane in self.lanes.values():
             idle = [v for v, f in lane.flows.items() if not (f.queue or f.out or f.used >= self.now - IDLE_S)]
             for volume in idle:
