--- a/fawnspool/control.py
+++ b/fawnspool/control.py
@@ -152,6 +152,8 @@
         self.least_aim = min(c.aim for c in settings.classes)
         self.look = self.least_aim / TICKS_PER_AIM
         self.ask_at: float | None = None
+        # The bounds of few heads hold a node's queue down; those of many can't: each has two at least.
+        self.many = settings.heads * START_BOUND > BOUND_ALL
         self.unit_s, self.since = 0.0, -1.0
         self.ticking = self.unsure = False      # a timer is set; only a saved list so far
         self.handlers: dict[type, Callable[[Any], None]] = {
@@ -243,8 +245,8 @@
         node. Harm: a pause looks like a crowd for as long as its answers are fresh."""
         if job.rank == 2:
             return lane.held() > 0      # others wait for that place
-        if self.s.heads * START_BOUND <= BOUND_ALL:
-            return False                # the bounds of so few heads do hold a node's queue down
+        if not self.many:
+            return False
         over = max(1.0, self.volumes[job.req.volume].use)
         may = min(job.wanted - self.now, self.least_aim) * (CROWD / min(over, 4.0) ** 0.5 if job.rank else 1.0)
         faded = lane.wait * 0.5 ** ((self.now - lane.seen) / FRESH_S)
@@ -252,12 +254,14 @@
         return wait + self.unit_s * job.req.units > may * self.random.uniform(0.5, 1.5)
 
     def _offer(self, job: _Job, lane: _Lane, front: bool = False) -> None:
-        """Hold the job, send what the bound lets. What stays held with too little time for two looks ends
-        now: a client's last try may come with next to none left, and an answer after it is a lost request."""
+        """Hold the job, send what the bound lets. What stays held has a timer of its own: a client may come
+        with next to no time left, and an answer after it is a lost request."""
         self._hold(job, lane, front)
         self._turn(lane)
-        if job.held and job.ends < self.now + 2 * self.look:
+        if job.held and job.ends <= self.now + 3 * self.s.tick:
             self._end(job)
+        elif job.held:
+            self.acts.append(SetTimer(job.ends - self.now - 3 * self.s.tick, 1 + job.req.id))
         if job.held and job.plan.limit:
             self._ask(job.req.volume, self._volume(job))
         self._tick()
@@ -519,7 +523,8 @@
             wanted = self.least_aim * TARGET_SHARE / max(lane.response, 1e-3) * lane.bound + PULL
             if wanted < lane.bound or len(lane.out) + 1 >= int(lane.bound):
                 lane.bound += GAIN * (min(wanted, 2 * lane.bound) - lane.bound)
-            lane.bound = max(1.0, min(lane.bound, max(START_BOUND, BOUND_ALL / self.s.heads)))
+            most = BOUND_ALL / (1 if self.many else self.s.heads)
+            lane.bound = max(1.0, min(lane.bound, max(START_BOUND, most)))
         active = [f for f in lane.flows.values() if f.queue or f.out]
         shift = self.now - min((f.tag for f in active), default=self.now)
         for f in active:
@@ -666,6 +671,9 @@
 
     def _on_look(self, event: Timer) -> None:
         """Now and then, while anything is held or out: what only the passing of time changes."""
+        if event.token:
+            job = self.jobs.get(event.token - 1)
+            return self._end(job) if job and job.held and job.ends <= self.now + 4 * self.s.tick else None
         self.ticking = False
         if self.ask_at is not None and self.now >= self.ask_at:
             self.ask_at = None
@@ -676,8 +684,7 @@
                 self._suspect(lane, SIGNS)
             for flow in lane.flows.values():
                 for job in list(flow.queue):
-                    late = self.now + self.look > job.wanted and not lane.sound()
-                    if late or self.now + 2 * self.look > job.ends:
+                    if self.now + self.look > job.wanted and not lane.sound():
                         self._end(job)
         for lane in self.lanes.values():
             self._turn(lane)
