--- a/fawnspool/control.py
+++ b/fawnspool/control.py
@@ -26,7 +26,7 @@
 BOUND_ALL = 12.0         # requests out at one node from all heads, at most: beyond it only queues grow
 START_BOUND = 2.0        # requests out at a node that has told nothing yet: one to run, one to follow
 FRESH_S = 1.0            # an answer this old counts half for its node, seconds: surges come and go in a few
-CROWD = 0.5              # part of the time wanted that a node's response may take, for what is beyond a reserve
+CROWD = 0.25             # part of the least aim that may pass in waiting at a node, beyond a reserve
 CREDIT = 0.5             # part of a limit's rate that comes back as credit for use known to all by the meter
 METER_LATE_S = 2.0       # the meter tells of a period this long after its end at most, seconds
 ASK_ALL_S = 1.0          # pause between calls to every head for units of one limit, seconds
@@ -155,6 +155,8 @@
         # The bounds of few heads hold a node's queue down; those of many can't: each has two at least.
         self.many = settings.heads * START_BOUND > BOUND_ALL
         self.unit_s, self.since = 0.0, -1.0
+        self.seen = 0.0
+        self.waits = deque([0.0], maxlen=9)     # the last ones, all nodes: their median stands for a node unheard
         self.ticking = self.unsure = False      # a timer is set; only a saved list so far
         self.handlers: dict[type, Callable[[Any], None]] = {
             NodeList: self._on_list, Request: self._on_request, Outcome: self._on_outcome,
@@ -247,11 +249,12 @@
             return lane.held() > 0      # others wait for that place
         if not self.many:
             return False
-        over = max(1.0, self.volumes[job.req.volume].use)
-        may = min(job.wanted - self.now, self.least_aim) * (CROWD / min(over, 4.0) ** 0.5 if job.rank else 1.0)
-        faded = lane.wait * 0.5 ** ((self.now - lane.seen) / FRESH_S)
+        over = min(4.0, max(1.0, self.volumes[job.req.volume].use)) ** 0.5
+        usual = sorted(self.waits)[len(self.waits) // 2] * 0.5 ** ((self.now - self.seen) / FRESH_S)
+        faded = usual + (lane.wait - usual) * 0.5 ** ((self.now - lane.seen) / FRESH_S)
         wait = max(faded, self.now - lane.heard - lane.response if lane.out else 0.0)
-        return wait + self.unit_s * job.req.units > may * self.random.uniform(0.5, 1.5)
+        may = self.least_aim * (CROWD / over if job.rank else 2 * CROWD) * self.random.uniform(0.5, 1.5)
+        return wait > may or wait + self.unit_s * job.req.units > job.wanted - self.now
 
     def _offer(self, job: _Job, lane: _Lane, front: bool = False) -> None:
         """Hold the job, send what the bound lets. What stays held has a timer of its own: a client may come
@@ -515,9 +518,10 @@
             # Work a unit: about the lower quarter of what answers took, over all nodes. The rest is waiting.
             self.unit_s = (self.unit_s or took / job.req.units) * (
                 0.97 if took < self.unit_s * job.req.units else 1.01)
-            gain = max(GAIN, 1 - 0.5 ** ((self.now - lane.seen) / FRESH_S))
-            lane.wait += gain * (max(0.0, took - self.unit_s * job.req.units) - lane.wait)
-            lane.seen = self.now
+            waited = max(0.0, took - self.unit_s * job.req.units)
+            lane.wait += max(GAIN, 1 - 0.5 ** ((self.now - lane.seen) / FRESH_S)) * (waited - lane.wait)
+            self.waits.append(waited)
+            lane.seen = self.seen = self.now
             flow.recent.append(took)
             flow.tag += self._step(flow, lane)
             wanted = self.least_aim * TARGET_SHARE / max(lane.response, 1e-3) * lane.bound + PULL
