--- a/fawnspool/control.py
+++ b/fawnspool/control.py
@@ -527,7 +527,7 @@
             wanted = self.least_aim * TARGET_SHARE / max(lane.response, 1e-3) * lane.bound + PULL
             if wanted < lane.bound or len(lane.out) + 1 >= int(lane.bound):
                 lane.bound += GAIN * (min(wanted, 2 * lane.bound) - lane.bound)
-            most = BOUND_ALL / (1 if self.many else self.s.heads)
+            most = 2 * START_BOUND if self.many else BOUND_ALL / self.s.heads
             lane.bound = max(1.0, min(lane.bound, max(START_BOUND, most)))
         active = [f for f in lane.flows.values() if f.queue or f.out]
         shift = self.now - min((f.tag for f in active), default=self.now)
