Late repeats only where next to nothing waits

Cause: at size a head rarely holds anything, so the check for others waiting never acted, and late repeats took half of a surge's places.

--- a/fawnspool/control.py
+++ b/fawnspool/control.py
@@ -245,7 +245,7 @@
         reserve at a part of the time that what is inside may take, the less the more its volume takes.
         Drawn around the threshold, so that heads do not all turn at once. Guards against any shortage at a
         node. Harm: a pause looks like a crowd for as long as its answers are fresh."""
-        if job.rank == 2:
+        if job.rank == 2 and (lane.held() or not self.many):
             return lane.held() > 0      # others wait for that place
         if not self.many:
             return False
@@ -253,7 +253,7 @@
         usual = sorted(self.waits)[len(self.waits) // 2] * 0.5 ** ((self.now - self.seen) / FRESH_S)
         faded = usual + (lane.wait - usual) * 0.5 ** ((self.now - lane.seen) / FRESH_S)
         wait = max(faded, self.now - lane.heard - lane.response if lane.out else 0.0)
-        may = self.least_aim * (CROWD / over if job.rank else 2 * CROWD) * self.random.uniform(0.5, 1.5)
+        may = self.least_aim * CROWD * (2.0, 1 / over, 0.25)[job.rank] * self.random.uniform(0.5, 1.5)
         return wait > may or wait + self.unit_s * job.req.units > job.wanted - self.now
 
     def _offer(self, job: _Job, lane: _Lane, front: bool = False) -> None:
