--- a/fawnspool/control.py
+++ b/fawnspool/control.py
@@ -567,7 +567,7 @@
         doubles. Guards against any node that takes no work, whatever the cause; a lossy path to a live node
         shows single resets only. Harm: work waits for the next trial at a node just recovered."""
         lane.away = lane.away if lane.failed else self.now
-        lane.failed += signs
+        lane.failed, lane.heard = lane.failed + signs, self.now
         if lane.failed < SIGNS:
             return
         pause = min(TRIAL_MOST_S, self.s.connect_timeout * 2.0 ** min(lane.failed - SIGNS, 8))
@@ -685,7 +685,7 @@
         for lane in self.lanes.values():
             patience = SILENT * max(self.least_aim / 2, lane.response)      # slow is not dead
             if lane.out and lane.sound() and self.now - lane.heard > patience:
-                self._suspect(lane, SIGNS)
+                self._suspect(lane, min(SIGNS, len(lane.out)))      # each unanswered attempt is one sign
             for flow in lane.flows.values():
                 for job in list(flow.queue):
                     if self.now + self.look > job.wanted and not lane.sound():
