Visit busy lanes only, draw four nodes for a new object, drop the credit, fold the module

A look visits lanes with something held or out; what is held is counted, not summed; no request walks all nodes.

--- a/fawnspool/control.py
+++ b/fawnspool/control.py
@@ -6,6 +6,7 @@
 """
 from __future__ import annotations
 
+import math
 import struct
 from collections import OrderedDict, deque
 from collections.abc import Callable
@@ -27,8 +28,6 @@
 START_BOUND = 2.0        # requests out at a node that has told nothing yet: one to run, one to follow
 FRESH_S = 1.0            # an answer this old counts half for its node, seconds: surges come and go in a few
 CROWD = 0.25             # part of the least aim that may pass in waiting at a node, beyond a reserve
-CREDIT = 0.5             # part of a limit's rate that comes back as credit for use known to all by the meter
-METER_LATE_S = 2.0       # the meter tells of a period this long after its end at most, seconds
 ASK_ALL_S = 1.0          # pause between calls to every head for units of one limit, seconds
 TICKS_PER_AIM = 8        # looks at all queues within the least aim: a late look costs an eighth of it
 TRIAL_MOST_S = 1.0       # longest pause between trials of a failed node, seconds: its return is found within
@@ -77,22 +76,17 @@
 
     plan: Plan
     heads: int
-    level: float = 0.0          # limit's bucket, this head's part; empty at start: an earlier life may
-    filled: float = 0.0         # have drawn it
+    level: float = 0.0          # limit's bucket, this head's part; an earlier life may have drawn it
+    filled: float = 0.0
     reserve: float = 0.0
     mine: float = 0.0           # units a second served here, smoothed
     served: float = 0.0
     asked: float = 0.0          # when peers were last asked for units of its limit
+    queued: float = 0.0         # units held here that have drawn nothing of a limit yet
     lenders: set[int] = field(default_factory=set)
     part: float = 0.0           # share of the volume's use that came through this head
-    thin: bool = False          # a head's even part of the limit is under the plan's own rate, and none lends
-    told: float = 0.0           # when the meter was last heard
-    low: float = 0.0            # since when it has told, without a gap, of use within CREDIT of the limit
-    owed: deque[tuple[float, float]] = field(default_factory=deque)     # units served: when, how many
     use: float = 0.0            # the volume's whole use as the meter last told, as a share of its rate
 
-
-
 @dataclass(slots=True, eq=False)
 class _Flow:
     """A volume at one node."""
@@ -112,6 +106,8 @@
     cell: int
     node: int | None = None
     flows: OrderedDict[int, _Flow] = field(default_factory=OrderedDict)
+    active: dict[int, _Flow] = field(default_factory=dict)      # those with something held or out
+    held: int = 0
     bound: float = START_BOUND
     response: float = 0.0       # mean, seconds
     wait: float = 0.0           # part of a response that is not work, lately, seconds
@@ -127,44 +123,37 @@
     away: float = 0.0           # when it last began to fail
     fed: deque[tuple[float, float]] = field(default_factory=deque)    # sends while cold: time, units
 
-    def held(self) -> int:
-        return sum(len(flow.queue) for flow in self.flows.values())
-
     def sound(self) -> bool:
         return self.node is not None and self.failed < SIGNS
 
 
 class Controller:
-    """One head's decisions. handle() is all: the same events give the same actions."""
+    """One head's decisions: the same events give the same actions."""
 
     def __init__(self, settings: Settings, seed: int) -> None:
         self.s = settings
         self.random = Random(seed)
         self.now, self.acts = 0.0, list[Action]()
-        self.jobs: dict[int, _Job] = {}
-        self.lanes: dict[int, _Lane] = {}
-        self.nodes: dict[int, ListEntry] = {}
+        self.jobs, self.nodes = dict[int, _Job](), dict[int, ListEntry]()
+        self.lanes, self.busy = dict[int, _Lane](), dict[int, _Lane]()  # busy: something held or out
         self.volumes: OrderedDict[int, _Volume] = OrderedDict()
-        self.keys: dict[int, deque[_Job]] = {}          # ordered classes: jobs of a key in their order
-        self.settling: dict[int, float] = {}            # keys that wait after a doubtful end
-        self.taken: deque[float] = deque()              # for the attempt budget
-        self.extras: deque[float] = deque()
+        self.keys, self.settling = dict[int, deque[_Job]](), dict[int, float]()     # order by key, its pauses
+        self.taken, self.extras = deque[float](), deque[float]()        # for the attempt budget
         self.least_aim = min(c.aim for c in settings.classes)
-        self.look = self.least_aim / TICKS_PER_AIM
-        self.ask_at: float | None = None
+        self.look, self.ask_at = self.least_aim / TICKS_PER_AIM, math.inf
         # The bounds of few heads hold a node's queue down; those of many can't: each has two at least.
         self.many = settings.heads * START_BOUND > BOUND_ALL
-        self.unit_s, self.since = 0.0, -1.0
-        self.seen = 0.0
-        self.waits = deque([0.0], maxlen=9)     # the last ones, all nodes: their median stands for a node unheard
+        self.most = 2 * START_BOUND if self.many else max(START_BOUND, BOUND_ALL / settings.heads)
+        self.unit_s, self.seen, self.since = 0.0, 0.0, -1.0
+        self.cells = list[int]()                # those that have a node
+        self.waits = deque([0.0], maxlen=9)     # all nodes' last ones: their median is for a node unheard
         self.ticking = self.unsure = False      # a timer is set; only a saved list so far
         self.handlers: dict[type, Callable[[Any], None]] = {
             NodeList: self._on_list, Request: self._on_request, Outcome: self._on_outcome,
             ClientGone: self._on_gone, Timer: self._on_look, PeerMessage: self._on_peer}
 
     def handle(self, now: float, event: Event) -> list[Action]:
-        self.now, self.acts = now, []
-        self.since = now if self.since < 0 else self.since
+        self.now, self.acts, self.since = now, [], now if self.since < 0 else self.since
         if handler := self.handlers.get(type(event)):   # else: an event that tells nothing needed here
             handler(event)
         return self.acts
@@ -188,7 +177,7 @@
             self._seat(lane, ready[cell].node if cell in ready else None)
             if cell in ready:
                 self._age(lane, ready[cell].started, saved)
-        self.unsure = saved
+        self.unsure, self.cells = saved, [c for c, lane in self.lanes.items() if lane.node is not None]
         for lane in self.lanes.values():
             self._turn(lane)
 
@@ -218,9 +207,8 @@
         cls, plan = self.s.classes[req.cls], self.s.plans[req.plan]
         spent = max(0.0, cls.deadline - req.patience) if req.repeat else 0.0
         wanted = self.now + min(cls.aim - spent, req.patience)     # some come with less time than the aim
-        job = _Job(req, cls, plan, self.now + req.patience, wanted, 1)
-        job.key = req.extent if cls.ordered else 0
-        self.jobs[req.id] = job
+        key = req.extent if cls.ordered else 0
+        self.jobs[req.id] = job = _Job(req, cls, plan, self.now + req.patience, wanted, 1, key=key)
         if self.s.extra_free is not None:
             self.taken.append(self.now)
         if job.key:
@@ -232,7 +220,7 @@
             volume.reserve -= req.units
             job.rank = 0
         supply = plan.limit / (1 if self.s.peers else volume.heads) * (job.rank < 2)
-        if plan.limit and self._lack(req.volume, volume) + req.units > supply * (job.wanted - self.now):
+        if plan.limit and volume.queued - volume.level + req.units > supply * (job.wanted - self.now):
             return self._end(job)   # beyond its limit: earns nothing, so it costs nothing either
         lane = self.lanes.get(req.cell) if req.cell >= 0 else self._place(job)
         return self._offer(job, lane) if lane and not self._crowded(job, lane) else self._end(job)
@@ -240,109 +228,92 @@
     def _crowded(self, job: _Job, lane: _Lane) -> bool:
         """Is the node so slow now that a request of this rank is better refused than sent?
 
-        With hundreds of heads no head's bound holds the node's queue down: each has one or two out. What
-        all see is how long answers take. Each leaves out what is worth least first: what is beyond a
-        reserve at a part of the time that what is inside may take, the less the more its volume takes.
-        Drawn around the threshold, so that heads do not all turn at once. Guards against any shortage at a
-        node. Harm: a pause looks like a crowd for as long as its answers are fresh."""
-        if job.rank == 2 and (lane.held() or not self.many):
-            return lane.held() > 0      # others wait for that place
-        if not self.many:
-            return False
-        over = min(4.0, max(1.0, self.volumes[job.req.volume].use)) ** 0.5
+        The bounds of many heads can't hold a node's queue down, but all see how long answers wait. What is
+        beyond a reserve ends at a shorter wait, the more its volume uses the sooner; a late repeat soonest.
+        Drawn around the threshold, so that heads don't turn at once. Guards against any shortage at a node.
+        Harm: a pause looks like a crowd while its answers are fresh."""
+        if not self.many or (job.rank == 2 and lane.held):
+            return job.rank == 2 and bool(lane.held)    # a late repeat: others wait for that place
+        over = math.sqrt(min(4.0, max(1.0, self.volumes[job.req.volume].use)))
         usual = sorted(self.waits)[len(self.waits) // 2] * 0.5 ** ((self.now - self.seen) / FRESH_S)
         faded = usual + (lane.wait - usual) * 0.5 ** ((self.now - lane.seen) / FRESH_S)
         wait = max(faded, self.now - lane.heard - lane.response if lane.out else 0.0)
         may = self.least_aim * CROWD * (2.0, 1 / over, 0.25)[job.rank] * self.random.uniform(0.5, 1.5)
-        return wait > may or wait + self.unit_s * job.req.units > job.wanted - self.now
+        return wait > min(may, job.wanted - self.now - self.unit_s * job.req.units)
 
     def _offer(self, job: _Job, lane: _Lane, front: bool = False) -> None:
         """Hold the job, send what the bound lets. What stays held has a timer of its own: a client may come
         with next to no time left, and an answer after it is a lost request."""
         self._hold(job, lane, front)
         self._turn(lane)
-        if job.held and job.ends <= self.now + 3 * self.s.tick:
+        self._tick()
+        left = job.ends - self.now - 3 * self.s.tick
+        if job.held and left <= 0:
             self._end(job)
         elif job.held:
-            self.acts.append(SetTimer(job.ends - self.now - 3 * self.s.tick, 1 + job.req.id))
-        if job.held and job.plan.limit:
+            self.acts.append(SetTimer(left, 1 + job.req.id))
             self._ask(job.req.volume, self._volume(job))
-        self._tick()
 
     def _volume(self, job: _Job) -> _Volume:
         """The volume's state, its buckets filled up to now."""
         volume = self.volumes.get(job.req.volume)
         if volume is None:
             # Its part of a limit fills from the head's start on: an earlier life may have drawn it till then.
-            volume = _Volume(job.plan, max(1, job.req.heads), filled=self.since, served=self.now, told=self.now,
-                             low=self.now)
+            volume = _Volume(job.plan, max(1, job.req.heads), filled=self.since, served=self.now)
             volume.reserve = self.s.largest_units + job.plan.reserve / volume.heads
             self.volumes[job.req.volume] = volume
         self.volumes.move_to_end(job.req.volume)
         volume.heads = max(volume.heads, job.req.heads)
-        volume.thin = 0 < job.plan.limit < volume.heads * job.plan.rate and self.s.meter > 0 and not self.s.peers
         self._fill(volume)
         return volume
 
     def _fill(self, volume: _Volume) -> None:
         plan, passed = volume.plan, self.now - volume.filled
-        rate = plan.limit * (1 - CREDIT if volume.thin else 1.0)
-        room = plan.limit_depth / volume.heads - sum(units for _, units in volume.owed)
-        volume.level = max(volume.level, min(room, volume.level + passed * rate / volume.heads))
+        volume.level = min(plan.limit_depth, volume.level * volume.heads + passed * plan.limit) / volume.heads
         fill = max(volume.part, 1 / volume.heads) * plan.reserve
         volume.reserve = min(fill + self.s.largest_units, volume.reserve + passed * fill)
         volume.filled = self.now
 
-    def _lack(self, ident: int, volume: _Volume) -> float:
-        """Units by which what this head holds of the volume, unsent, passes its part of the limit."""
-        return sum(j.req.units for lane in self.lanes.values() if ident in lane.flows
-                   for j in lane.flows[ident].queue if not j.tries) - volume.level
-
     def _ask(self, ident: int, volume: _Volume) -> None:
-        """Ask for units of the volume's limit that its other heads do not use, as many as have room here.
-
-        Two of those that lent last are asked; an asked one counts as a lender again once it lends. Only
-        with none left all heads are asked, seldom: at size that costs more than the units are worth."""
-        lack = self._lack(ident, volume) + volume.mine * self.least_aim
-        pause = self.look / 2 if volume.lenders else ASK_ALL_S
-        if self.s.peers and volume.heads > 1 and lack > 0 and self.now >= volume.asked + pause:
+        """Ask for units of the volume's limit that its other heads do not use, as many as have room here. Two
+        that lent before are asked, and count as lenders again once they lend; with none left all are, seldom:
+        at size that costs more than the units are worth."""
+        lack = volume.queued - volume.level + volume.mine * self.least_aim
+        due = volume.asked + (self.look / 2 if volume.lenders else ASK_ALL_S)
+        if self.s.peers and volume.plan.limit and volume.heads > 1 and lack > 0 and self.now >= due:
             volume.asked = self.now
             body = _PEER.pack(_WANT, ident, max(lack, volume.plan.limit_depth / volume.heads - volume.level))
             asked = self.random.sample(sorted(volume.lenders), min(2, len(volume.lenders)))
             volume.lenders -= set(asked)
-            self.acts += [Tell(head, body) for head in asked or [None]]
+            self.acts += [Tell(head, body) for head in asked] or [Tell(None, body)]
 
     def _on_peer(self, event: PeerMessage) -> None:
-        """Units of a limit move between heads: the lender takes them off before it tells, a lost message
-        loses them, and no part holds more than its even depth, so all heads together stay within it."""
+        """Units of a limit move between heads: the lender takes them off before it tells, and no part holds
+        more than its even depth, so all heads together stay within it whatever is lost."""
         what, ident, units = _PEER.unpack(event.body) if len(event.body) == _PEER.size else (0, 0, 0.0)
         volume = self.volumes.get(ident)
         if volume is None or not 0 < units <= volume.plan.limit_depth:
             return
         self._fill(volume)
-        if what == _WANT:
-            spare = -self._lack(ident, volume) - volume.mine * self.least_aim
-            if spare >= 1:
-                units = min(units, max(1.0, spare / 2))
-                volume.level -= units
-                self.acts.append(Tell(event.sender, _PEER.pack(_LEND, ident, units)))
+        spare = volume.level - volume.queued - volume.mine * self.least_aim
+        if what == _WANT and spare >= 1:
+            units = min(units, max(1.0, spare / 2))
+            volume.level -= units
+            self.acts.append(Tell(event.sender, _PEER.pack(_LEND, ident, units)))
         elif what == _LEND:
             volume.lenders.add(event.sender)
             volume.level = min(volume.plan.limit_depth / volume.heads, volume.level + units)
-            for lane in [x for x in self.lanes.values() if ident in x.flows]:
+            for lane in [x for x in self.busy.values() if ident in x.active]:
                 self._turn(lane)
 
     def _place(self, job: _Job) -> _Lane | None:
-        """A node for a new object: the better of two drawn ones, so that heads do not herd."""
-        there = [x for x in self.lanes.values() if x.node is not None]
-        well = [x for x in there if x.sound()]
-        fit = [x for x in well if x.born is None] or well or there
-        fit = self.random.sample(fit, min(2, len(fit)))
-        return min(fit, key=lambda x: (self._wait(x), x.cell), default=None)
+        """A node for a new object: the better of two drawn ones that are well, so that heads do not herd."""
+        drawn = [self.lanes[c] for c in self.random.sample(self.cells, min(4, len(self.cells)))]
+        fit = [x for x in drawn if x.sound() and x.born is None] or [x for x in drawn if x.sound()] or drawn
+        return min(fit[:2], key=lambda x: (self._wait(x), x.cell), default=None)
 
     def _wait(self, lane: _Lane) -> float:
-        """Expected time to an answer for one more request at the end of this node's queues."""
-        return self._response(lane) * (1 + (len(lane.out) + lane.held()) / lane.bound)
+        return self._response(lane) * (1 + (len(lane.out) + lane.held) / lane.bound)
 
     def _hold(self, job: _Job, lane: _Lane, front: bool = False) -> None:
         flow = lane.flows.setdefault(job.req.volume, _Flow(job.plan.weight))
@@ -350,8 +321,18 @@
             flow.tag = max(flow.tag, self.now)
         job.cell, job.held, flow.used = lane.cell, True, self.now
         (flow.queue.appendleft if front else flow.queue.append)(job)
-
-    # ------------------------------------------------------------ the ordinary path
+        lane.held += 1
+        lane.active[job.req.volume], self.busy[lane.cell] = flow, lane
+        lane.flows.move_to_end(job.req.volume)
+        while (oldest := next(iter(lane.flows.values()))).used < self.now - IDLE_S and not oldest.out:
+            lane.flows.popitem(last=False)
+        self._volume(job).queued += job.req.units * (not job.tries)
+
+    def _unhold(self, job: _Job) -> None:
+        lane = self.lanes[job.cell]
+        lane.flows[job.req.volume].queue.remove(job)
+        lane.held, job.held = lane.held - 1, False
+        self._volume(job).queued -= job.req.units * (not job.tries)
 
     def _turn(self, lane: _Lane) -> None:
         """Send while the bound has room, whatever the forecast says: a node that looks too slow is only
@@ -362,23 +343,20 @@
             self._shed(lane)
 
     def _room(self, lane: _Lane, job: _Job) -> int:
-        if lane.sound():    # one place more for a run that goes on: it costs less while the node remembers it
-            return max(1, int(lane.bound)) + (job.here() == lane.extent and 0 < lane.run < RUN_LIMIT)
-        # Half open: one request tries the node, once its pause is over.
-        return int(lane.node is not None and self.now >= lane.trial_at)
+        if not lane.sound():    # half open: one request tries the node, once its pause is over
+            return int(lane.node is not None and self.now >= lane.trial_at)
+        # One place more for a run that goes on: it costs less while the node remembers it.
+        return int(lane.bound) + (job.here() == lane.extent and 0 < lane.run < RUN_LIMIT)
 
     def _next(self, lane: _Lane) -> _Job | None:
         """The run of the last extent first, else the volume with the smallest tag."""
-        tags = sorted((self._tag(f, lane), volume) for volume, f in lane.flows.items() if f.queue)
+        # Tags move only at completion: what is out counts as completed, so no volume fills the bound.
+        tags = sorted((f.tag + f.out * self._step(f, lane), v) for v, f in lane.active.items() if f.queue)
         order = [job for _, volume in tags for job in lane.flows[volume].queue]
         if 0 < lane.run < RUN_LIMIT:
             order.sort(key=lambda job: job.here() != lane.extent)
         return next((job for job in order if self._sendable(job, lane)), None)
 
-    def _tag(self, flow: _Flow, lane: _Lane) -> float:
-        """Tags move only at completion: what is out counts as completed, so no volume fills the bound."""
-        return flow.tag + flow.out * self._step(flow, lane)
-
     def _step(self, flow: _Flow, lane: _Lane) -> float:
         return (sum(flow.recent) / len(flow.recent) if flow.recent else self._response(lane)) / flow.weight
 
@@ -387,20 +365,16 @@
 
     def _sendable(self, job: _Job, lane: _Lane) -> bool:
         """The guards between a held request and its node: limit, cold node, order by key, attempts."""
-        if not job.tries and job.plan.limit and self._volume(job).level < job.req.units:
-            return False
-        if not self._cold_room(lane, job.req.units):
-            return False
-        if job.key and (self.keys[job.key][0] is not job
-                        or (not job.tries and self.settling.get(job.key, 0.0) > self.now)):
-            return False
-        return not job.tries or self._may(job, lane.node)
+        turn = not job.key or (self.keys[job.key][0] is job and (
+            bool(job.tries) or self.settling.get(job.key, 0.0) <= self.now))
+        limited = not job.tries and job.plan.limit and self._volume(job).level < job.req.units
+        return turn and not limited and self._cold_room(lane, job.req.units) and (
+            not job.tries or self._may(job, lane.node))
 
     def _send(self, job: _Job, lane: _Lane) -> None:
         assert lane.node is not None
         flow = lane.flows[job.req.volume]
-        flow.queue.remove(job)
-        job.held = False
+        self._unhold(job)
         if not job.tries and job.plan.limit:
             self._volume(job).level -= job.req.units
         if job.tries and self.s.extra_free is not None:
@@ -415,11 +389,9 @@
         self.acts.append(Send(job.req.id, lane.node))
 
     def _cold_budget(self, lane: _Lane) -> float | None:
-        """Units that this head may send a young node in any `fall` seconds; None: it is warm.
-
-        Grows only as fast as the slowest warm-up allowed, counted from the window's start, and is one head's
-        even part, so that all heads together stay safe without a word between them. A fresh head that still
-        waits for a live list takes the whole: it knows of no start, and the others keep to their parts."""
+        """Units that this head may send a young node in any `fall` seconds; None: it is warm. Grows as the
+        slowest warm-up allowed, from the window's start on, and is one head's even part: safe without a word
+        between heads. A fresh head with no live list yet takes the whole: it knows of no start."""
         if lane.born is None:
             return None
         age = self.now - lane.born - self.s.fall
@@ -438,39 +410,30 @@
 
     def _shed(self, lane: _Lane) -> None:
         """While some held request would miss its aim, turn away the least of those that leave before it.
-
-        First what is beyond the share (the volume with most of that per weight), then the rest; what is in
-        its reserve stays longest. Guards against any shortage at a node, whatever its cause. Harm: with a
-        response mean just after a pause it refuses what might have made it."""
-        held = lane.held()
-        while held:
+        First what is beyond the share (most per weight first), then the rest; a reserve stays longest.
+        Guards against any shortage. Harm: just after a pause it refuses what might have made it."""
+        while lane.held:
             plan = self._forecast(lane)
             late = next((k for k, (job, done) in enumerate(plan) if done > job.wanted), None)
             if late is None:
                 break
-            excess: dict[int, float] = {}
+            excess = dict.fromkeys((job.req.volume for job, _ in plan), 0.0)
             for job, _ in plan:
-                before = excess.get(job.req.volume, 0.0)
-                excess[job.req.volume] = before + (job.req.units / job.plan.weight if job.rank else 0.0)
+                excess[job.req.volume] += job.req.units / job.plan.weight if job.rank else 0.0
             victim = max((job for job, _ in plan[:late + 1]), key=lambda j: (
                 j.rank, bool(j.rank) * excess[j.req.volume], -j.cls.worth * j.plan.worth_factor, j.req.id))
             self._end(victim)
-            held -= 1
 
     def _forecast(self, lane: _Lane) -> list[tuple[_Job, float]]:
         """Held requests in the order in which tags would send them, and when each would be done."""
         response = self._response(lane)
-        order: list[tuple[float, int, int, _Job]] = []
-        for volume, flow in lane.flows.items():
-            tag, step = self._tag(flow, lane), self._step(flow, lane)
-            order += [(tag + k * step, volume, k, job) for k, job in enumerate(flow.queue)]
-        room, budget = max(1, int(lane.bound)), self._cold_budget(lane)
-        pace = response / room                       # seconds between two that leave
-        if budget is not None:
-            pace = max(pace, self.s.mean_units * self.s.fall / max(budget, 0.01))
+        order = [(flow.tag + (flow.out + k) * self._step(flow, lane), volume, k, job)
+                 for volume, flow in lane.active.items() for k, job in enumerate(flow.queue)]
+        room, budget = int(lane.bound), self._cold_budget(lane)
+        cold = 0.0 if budget is None else self.s.mean_units * self.s.fall / max(budget, 0.01)
+        pace = max(response / room, cold)            # seconds between two that leave
         ahead = float(len(lane.out) - room + 1)
-        plan = []
-        left: dict[int, float] = {}
+        plan, left = [], dict[int, float]()
         for _, volume, _, job in sorted(order, key=lambda x: x[:3]):
             if job.plan.limit and not job.tries:
                 left[volume] = left.get(volume, self._volume(job).level) - job.req.units
@@ -485,12 +448,11 @@
         job = self.jobs.get(event.id)
         if job is None or event.attempt >= len(job.tries) or not job.tries[event.attempt].open:
             return
-        attempt = job.tries[event.attempt]
+        attempt, lane = job.tries[event.attempt], self.lanes[job.cell]
         attempt.open = False
         attempt.maybe_ran = event.result not in (Result.FULL, Result.UNREACHED, Result.MOOT)
         if event.result in (Result.TIMED_OUT, Result.BROKEN, Result.CANCELLED) and job.key:
             self.settling[job.key] = self.now + self.s.settle_after_doubt
-        lane = self.lanes[job.cell]
         if lane.out.pop((event.id, event.attempt), None) is not None:
             lane.flows[job.req.volume].out -= 1
             self._learn(lane, job, event, attempt)
@@ -503,7 +465,6 @@
 
     def _learn(self, lane: _Lane, job: _Job, event: Outcome, attempt: _Attempt) -> None:
         """Health, bound and tags of the node that answered."""
-        flow = lane.flows[job.req.volume]
         if event.result in (Result.UNREACHED, Result.BROKEN):
             lane.shut |= event.result is Result.UNREACHED
             self._suspect(lane)
@@ -516,22 +477,22 @@
             took = self.now - attempt.sent
             lane.response += (took - lane.response) * (GAIN if lane.response else 1.0)
             # Work a unit: about the lower quarter of what answers took, over all nodes. The rest is waiting.
-            self.unit_s = (self.unit_s or took / job.req.units) * (
-                0.97 if took < self.unit_s * job.req.units else 1.01)
+            self.unit_s = self.unit_s or took / job.req.units
             waited = max(0.0, took - self.unit_s * job.req.units)
+            self.unit_s *= 1.01 if waited else 0.97
             lane.wait += max(GAIN, 1 - 0.5 ** ((self.now - lane.seen) / FRESH_S)) * (waited - lane.wait)
             self.waits.append(waited)
             lane.seen = self.seen = self.now
+            flow = lane.flows[job.req.volume]
             flow.recent.append(took)
             flow.tag += self._step(flow, lane)
             wanted = self.least_aim * TARGET_SHARE / max(lane.response, 1e-3) * lane.bound + PULL
             if wanted < lane.bound or len(lane.out) + 1 >= int(lane.bound):
-                lane.bound += GAIN * (min(wanted, 2 * lane.bound) - lane.bound)
-            most = 2 * START_BOUND if self.many else BOUND_ALL / self.s.heads
-            lane.bound = max(1.0, min(lane.bound, max(START_BOUND, most)))
-        active = [f for f in lane.flows.values() if f.queue or f.out]
-        shift = self.now - min((f.tag for f in active), default=self.now)
-        for f in active:
+                wanted = lane.bound + GAIN * (min(wanted, 2 * lane.bound) - lane.bound)
+                lane.bound = max(1.0, min(wanted, self.most))
+        lane.active = {v: f for v, f in lane.active.items() if f.queue or f.out}
+        shift = self.now - min((f.tag for f in lane.active.values()), default=self.now)
+        for f in lane.active.values():
             f.tag += shift
 
     def _meter(self, job: _Job, event: Outcome) -> None:
@@ -541,48 +502,30 @@
             span = max(self.s.meter, self.least_aim)
             keep = max(0.0, 1 - (self.now - volume.served) / span)
             volume.mine, volume.served = volume.mine * keep + job.req.units / span, self.now
-        if event.result is Result.SERVED and volume.thin:
-            volume.owed.append((self.now, job.req.units))
         if event.used is not None:
             volume.use = event.used
-            self._credit(volume)
-        if event.used is not None and event.used * job.plan.rate > 0:
-            volume.part = min(1.0, volume.mine / (event.used * job.plan.rate))
-
-    def _credit(self, volume: _Volume) -> None:
-        """Give back units of the limit that were served here, once the meter shows that all heads together
-        used at most CREDIT of its rate in that time. Every head's even part fills by the rest of the rate, so
-        what comes back to all is within the limit, with no word between them. Only what was served counts,
-        as the meter sees no other; a gap in the meter's reports starts the wait anew."""
-        if volume.use * volume.plan.rate > CREDIT * volume.plan.limit or self.now > volume.told + self.s.meter:
-            volume.low = self.now
-        volume.told = self.now
-        while volume.owed and volume.owed[0][0] <= self.now - self.s.meter - METER_LATE_S:
-            when, units = volume.owed.popleft()
-            if when > volume.low:
-                volume.level = min(volume.plan.limit_depth / volume.heads, volume.level + units)
+            volume.part = min(1.0, volume.mine / max(event.used * job.plan.rate, 1e-9))
 
     def _suspect(self, lane: _Lane, signs: int = 1) -> None:
         """Bad signs in a row, no answer between: hold back, then try with one request after a pause that
-        doubles. Guards against any node that takes no work, whatever the cause; a lossy path to a live node
-        shows single resets only. Harm: work waits for the next trial at a node just recovered."""
+        doubles. Guards against any node that takes no work; a lossy path shows single signs only. Harm: work
+        waits for the next trial at a node just recovered."""
         lane.away = lane.away if lane.failed else self.now
         lane.failed, lane.heard = lane.failed + signs, self.now
         if lane.failed < SIGNS:
             return
         pause = min(TRIAL_MOST_S, self.s.connect_timeout * 2.0 ** min(lane.failed - SIGNS, 8))
         lane.trial_at = self.now + pause * self.random.uniform(0.8, 1.0)
-        lane.heard = self.now
         if lane.failed - signs < SIGNS:
             self.acts.append(Log(f"node {lane.node} suspected"))
         self._replace(lane)
 
     def _replace(self, lane: _Lane) -> None:
         """New objects held for a node that takes nothing go to another."""
-        for job in [j for f in lane.flows.values() for j in f.queue if j.req.cell < 0 and not j.doubt()]:
+        for job in [j for f in lane.active.values() for j in f.queue if j.req.cell < 0 and not j.doubt()]:
             other = self._place(job)
             if other is not None and other is not lane:
-                lane.flows[job.req.volume].queue.remove(job)
+                self._unhold(job)
                 self._hold(job, other)
 
     def _alive(self, lane: _Lane) -> None:
@@ -593,8 +536,6 @@
             self.acts.append(Log(f"node {lane.node} answers again"))
         lane.failed, lane.shut = 0, False
 
-    # ------------------------------------------------------------- attempts and ends
-
     def _may(self, job: _Job, node: int | None) -> bool:
         """May the request go (again) to this node? With node None: may it be refused?
 
@@ -610,30 +551,26 @@
             return job.cls.effect is Effect.KEYED and job.cls.group is Group.ALL
         if self.now + 2 * self.s.tick > doubt[0].sent + job.cls.window:
             return False
-        return all(t.node == node or self._same_group(job.cls.group, t.node, node) for t in doubt)
-
-    def _same_group(self, group: Group, one: int, other: int) -> bool:
-        a, b = self.nodes.get(one), self.nodes.get(other)
-        if group is Group.ALL or a is None or b is None:
-            return group is Group.ALL
-        return a.zone == b.zone if group is Group.ZONE else a.cell == b.cell
+        if job.cls.group is Group.ALL or {t.node for t in doubt} == {node}:
+            return True
+        there = [self.nodes.get(t.node) for t in doubt] + [self.nodes.get(node)]
+        return len({x and (x.zone if job.cls.group is Group.ZONE else x.cell) for x in there} - {None}) == 1 \
+            and None not in there
 
     def _in_budget(self) -> bool:
-        if self.s.extra_free is None:
-            return True
-        since = self.now - self.s.extra_span
         for times in (self.taken, self.extras):
-            while times and times[0] < since:
+            while times and times[0] < self.now - self.s.extra_span:
                 times.popleft()
-        return len(self.extras) + 1 <= self.s.extra_free + self.s.extra_ratio * len(self.taken)
+        free = self.s.extra_free
+        return free is None or len(self.extras) + 1 <= free + self.s.extra_ratio * len(self.taken)
 
     def _again(self, job: _Job, result: Result) -> None:
         """Nothing of the request is out and it is still owed an answer: another try, or its end."""
         lane = self.lanes[job.cell]
-        hopeless = self.now + self._response(lane) > job.ends or result is Result.TIMED_OUT
         if job.req.cell < 0 and not lane.sound() and not job.doubt():
             lane = self._place(job) or lane
-        again = not hopeless and lane.node is not None and self._may(job, lane.node)
+        hope = self.now + self._response(lane) <= job.ends and result is not Result.TIMED_OUT
+        again = hope and lane.node is not None and self._may(job, lane.node)
         return self._offer(job, lane, front=True) if again else self._end(job)
 
     def _end(self, job: _Job) -> None:
@@ -651,52 +588,48 @@
     def _over(self, job: _Job) -> None:
         """The request is over: nothing more goes out for it, and what is out is called off."""
         if job.held:
-            self.lanes[job.cell].flows[job.req.volume].queue.remove(job)
-            job.held = False
+            self._unhold(job)
         still = [Cancel(job.req.id, k) for k, t in enumerate(job.tries) if t.open]
         self.acts += still if self.s.may_cancel and not job.over else []
         job.over = True
-        if still:
-            return
-        self.jobs.pop(job.req.id, None)
-        if job.key:
+        if not still and self.jobs.pop(job.req.id, job) and job.key:
             self.keys[job.key].remove(job)
             if not self.keys[job.key]:
                 del self.keys[job.key]
 
-    def _tick(self) -> None:
-        if not self.ticking:
-            self.acts.append(SetTimer(self.look, 0))
-        self.ticking = True
-
     def _on_gone(self, event: ClientGone) -> None:
         if job := self.jobs.get(event.id):
             self._over(job)
 
+    def _tick(self) -> None:
+        self.acts += [] if self.ticking else [SetTimer(self.look, 0)]
+        self.ticking = True
+
     def _on_look(self, event: Timer) -> None:
         """Now and then, while anything is held or out: what only the passing of time changes."""
         if event.token:
-            job = self.jobs.get(event.token - 1)
-            return self._end(job) if job and job.held and job.ends <= self.now + 4 * self.s.tick else None
+            due = self.jobs.get(event.token - 1)
+            return self._end(due) if due and due.held and due.ends <= self.now + 4 * self.s.tick else None
         self.ticking = False
-        if self.ask_at is not None and self.now >= self.ask_at:
-            self.ask_at = None
+        if self.now >= self.ask_at:
+            self.ask_at = math.inf
             self.acts.append(Watch(True) if self.s.must_ask else FetchList())
-        for lane in self.lanes.values():
+        for lane in [self.busy[cell] for cell in sorted(self.busy)]:
             patience = SILENT * max(self.least_aim / 2, lane.response)      # slow is not dead
             if lane.out and lane.sound() and self.now - lane.heard > patience:
                 self._suspect(lane, min(SIGNS, len(lane.out)))      # each unanswered attempt is one sign
-            for flow in lane.flows.values():
-                for job in list(flow.queue):
-                    if self.now + self.look > job.wanted and not lane.sound():
-                        self._end(job)
-        for lane in self.lanes.values():
+            for job in [j for flow in lane.active.values() for j in flow.queue]:
+                if self.now + self.look > job.wanted and not lane.sound():
+                    self._end(job)
+                else:
+                    self._ask(job.req.volume, self._volume(job))
+        for lane in [self.busy[cell] for cell in sorted(self.busy)]:
             self._turn(lane)
-        for ident, volume in self.volumes.items():
-            if volume.plan.limit and self.s.peers and self.now - volume.filled < 2 * self.look:
-                self._ask(ident, volume)
+            if not lane.held and not lane.out:
+                lane.active.clear()
+                del self.busy[lane.cell]
         self._forget()
-        if self.jobs or self.ask_at is not None:
+        if self.jobs or self.ask_at < math.inf:
             self._tick()
 
     def _forget(self) -> None:
@@ -704,8 +637,4 @@
         while self.volumes and (len(self.volumes) > VOLUMES_MOST
                                 or next(iter(self.volumes.values())).filled < self.now - IDLE_S):
             self.since = max(self.since, self.volumes.popitem(last=False)[1].filled)
-        for lane in self.lanes.values():
-            idle = [v for v, f in lane.flows.items() if not (f.queue or f.out or f.used >= self.now - IDLE_S)]
-            for volume in idle:
-                del lane.flows[volume]
         self.settling = {key: until for key, until in self.settling.items() if until > self.now}
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -63,7 +63,7 @@
 def test_late_repeat_is_refused_at_once_where_others_wait(head: Callable[..., Head]) -> None:
     """Brasov incident of a surge with retries: late repeats took places from what could be in time."""
     h = head().warm()
-    while not h.control.lanes[0].held():
+    while not h.control.lanes[0].held:
         h.ask(1)
     assert isinstance(h.ends[h.ask(2, patience=2.0, repeat=True)], Refuse)
 
@@ -232,6 +232,8 @@
     h = head(classes=(make_class(aim=1.0, deadline=20.0),))
     a = h.ask(1, patience=20.0)
     h.run(h.now + 2.0)
+    assert h.control.lanes[0].sound()  # one unanswered attempt is one sign
+    h.run(h.now + 3.0)
     assert not h.control.lanes[0].sound()
     h.answer(a)
     assert h.control.lanes[0].sound()
