--- a/fawnspool/control.py
+++ b/fawnspool/control.py
@@ -1,9 +1,7 @@
 """Every decision of a head, in one module. Its types, events and actions: fawnspool/interface.py.
 
 Ordinary path: at each node a FIFO and a start tag per volume; the smallest tag leaves next; a completion
-moves the volume's tag on by its mean response over its plan's weight. All else here is a guard around
-that path: which requests wait, which are turned away, and what the seven rules ask.
-"""
+moves the volume's tag on by its mean response over its plan's weight. All else guards that path."""
 from __future__ import annotations
 
 import math
@@ -131,10 +129,8 @@
     """One head's decisions: the same events give the same actions."""
 
     def __init__(self, settings: Settings, seed: int) -> None:
-        self.s = settings
-        self.random = Random(seed)
-        self.now, self.acts = 0.0, list[Action]()
-        self.jobs, self.nodes = dict[int, _Job](), dict[int, ListEntry]()
+        self.s, self.random = settings, Random(seed)
+        self.acts, self.jobs, self.nodes = list[Action](), dict[int, _Job](), dict[int, ListEntry]()
         self.lanes, self.busy = dict[int, _Lane](), dict[int, _Lane]()  # busy: something held or out
         self.volumes: OrderedDict[int, _Volume] = OrderedDict()
         self.keys, self.settling = dict[int, deque[_Job]](), dict[int, float]()     # order by key, its pauses
@@ -144,7 +140,7 @@
         # The bounds of few heads hold a node's queue down; those of many can't: each has two at least.
         self.many = settings.heads * START_BOUND > BOUND_ALL
         self.most = 2 * START_BOUND if self.many else max(START_BOUND, BOUND_ALL / settings.heads)
-        self.unit_s, self.seen, self.since = 0.0, 0.0, -1.0
+        self.now, self.unit_s, self.seen, self.since = 0.0, 0.0, 0.0, -1.0
         self.cells = list[int]()                # those that have a node
         self.waits = deque([0.0], maxlen=9)     # all nodes' last ones: their median is for a node unheard
         self.ticking = self.unsure = False      # a timer is set; only a saved list so far
@@ -195,8 +191,8 @@
             self._replace(lane)
 
     def _age(self, lane: _Lane, started: float, saved: bool) -> None:
-        """Since when the node may be cold. A saved list proves nothing; a live one settles it, except for
-        a node that was away: it may have restarted since, until the list tells of a later start."""
+        """Since when the node may be cold. A saved list proves nothing; a live one settles it, but for a node
+        that was away: it may have restarted since, until the list tells of a later start."""
         young = started > 0 and self.now - started < self.s.warm_after + self.s.fall
         if saved:
             lane.born = self.now
@@ -209,8 +205,7 @@
         wanted = self.now + min(cls.aim - spent, req.patience)     # some come with less time than the aim
         key = req.extent if cls.ordered else 0
         self.jobs[req.id] = job = _Job(req, cls, plan, self.now + req.patience, wanted, 1, key=key)
-        if self.s.extra_free is not None:
-            self.taken.append(self.now)
+        self.taken += [self.now] if self.s.extra_free is not None else []
         if job.key:
             self.keys.setdefault(job.key, deque()).append(job)
         volume = self._volume(job)
@@ -233,17 +228,16 @@
         Drawn around the threshold, so that heads don't turn at once. Guards against any shortage at a node.
         Harm: a pause looks like a crowd while its answers are fresh."""
         if not self.many or (job.rank == 2 and lane.held):
-            return job.rank == 2 and bool(lane.held)    # a late repeat: others wait for that place
+            return job.rank == 2 and lane.held > 0      # a late repeat: others wait for that place
         over = math.sqrt(min(4.0, max(1.0, self.volumes[job.req.volume].use)))
         usual = sorted(self.waits)[len(self.waits) // 2] * 0.5 ** ((self.now - self.seen) / FRESH_S)
         faded = usual + (lane.wait - usual) * 0.5 ** ((self.now - lane.seen) / FRESH_S)
         wait = max(faded, self.now - lane.heard - lane.response if lane.out else 0.0)
         may = self.least_aim * CROWD * (2.0, 1 / over, 0.25)[job.rank] * self.random.uniform(0.5, 1.5)
-        return wait > min(may, job.wanted - self.now - self.unit_s * job.req.units)
+        return bool(wait > min(may, job.wanted - self.now - self.unit_s * job.req.units))
 
     def _offer(self, job: _Job, lane: _Lane, front: bool = False) -> None:
-        """Hold the job, send what the bound lets. What stays held has a timer of its own: a client may come
-        with next to no time left, and an answer after it is a lost request."""
+        """Hold, send what the bound lets. What stays held has a timer: some come with hardly any time."""
         self._hold(job, lane, front)
         self._turn(lane)
         self._tick()
@@ -255,7 +249,6 @@
             self._ask(job.req.volume, self._volume(job))
 
     def _volume(self, job: _Job) -> _Volume:
-        """The volume's state, its buckets filled up to now."""
         volume = self.volumes.get(job.req.volume)
         if volume is None:
             # Its part of a limit fills from the head's start on: an earlier life may have drawn it till then.
@@ -337,7 +330,7 @@
     def _turn(self, lane: _Lane) -> None:
         """Send while the bound has room, whatever the forecast says: a node that looks too slow is only
         found well again by an answer. Then turn away what can't be served in time."""
-        while (job := self._next(lane)) and len(lane.out) < self._room(lane, job):
+        while lane.held and (job := self._next(lane)) and len(lane.out) < self._room(lane, job):
             self._send(job, lane)
         if lane.sound():
             self._shed(lane)
@@ -364,7 +357,6 @@
         return lane.response or self.least_aim * TARGET_SHARE / 2
 
     def _sendable(self, job: _Job, lane: _Lane) -> bool:
-        """The guards between a held request and its node: limit, cold node, order by key, attempts."""
         turn = not job.key or (self.keys[job.key][0] is job and (
             bool(job.tries) or self.settling.get(job.key, 0.0) <= self.now))
         limited = not job.tries and job.plan.limit and self._volume(job).level < job.req.units
@@ -375,10 +367,8 @@
         assert lane.node is not None
         flow = lane.flows[job.req.volume]
         self._unhold(job)
-        if not job.tries and job.plan.limit:
-            self._volume(job).level -= job.req.units
-        if job.tries and self.s.extra_free is not None:
-            self.extras.append(self.now)
+        self._volume(job).level -= job.req.units * (not job.tries)
+        self.extras += [self.now] if job.tries and self.s.extra_free is not None else []
         lane.fed.append((self.now, job.req.units))
         lane.run = (lane.run + 1 if job.here() == lane.extent else 1) if job.req.extent else 0
         lane.extent = job.here()
@@ -496,8 +486,7 @@
             f.tag += shift
 
     def _meter(self, job: _Job, event: Outcome) -> None:
-        """How much of the volume's use comes through this head: its part of the reserve follows."""
-        volume = self._volume(job)
+        volume = self._volume(job)      # its use through this head: the part of the reserve here follows
         if event.result is Result.SERVED:
             span = max(self.s.meter, self.least_aim)
             keep = max(0.0, 1 - (self.now - volume.served) / span)
@@ -523,8 +512,7 @@
     def _replace(self, lane: _Lane) -> None:
         """New objects held for a node that takes nothing go to another."""
         for job in [j for f in lane.active.values() for j in f.queue if j.req.cell < 0 and not j.doubt()]:
-            other = self._place(job)
-            if other is not None and other is not lane:
+            if (other := self._place(job)) and other is not lane:
                 self._unhold(job)
                 self._hold(job, other)
 
@@ -541,9 +529,8 @@
 
         Unsafe: only while no attempt may have run. Keyed: then also within the group and the window that
         drop its repeats. Every further attempt is within try_limit and, where one is set, the budget."""
-        doubt = job.doubt()
-        if node is not None and (len(job.tries) >= self.s.try_limit or not self._in_budget()
-                                 or (any(t.open for t in job.tries) and not self.s.second_copies)):
+        doubt, twice = job.doubt(), any(t.open for t in job.tries) and not self.s.second_copies
+        if node is not None and (twice or len(job.tries) >= self.s.try_limit or not self._in_budget()):
             return False
         if not doubt or job.cls.effect is Effect.SAFE:
             return True
@@ -606,8 +593,7 @@
         self.ticking = True
 
     def _on_look(self, event: Timer) -> None:
-        """Now and then, while anything is held or out: what only the passing of time changes."""
-        if event.token:
+        if event.token:                 # else: now and then, what only the passing of time changes
             due = self.jobs.get(event.token - 1)
             return self._end(due) if due and due.held and due.ends <= self.now + 4 * self.s.tick else None
         self.ticking = False
