--- a/fawnspool/control.py
+++ b/fawnspool/control.py
@@ -230,11 +230,15 @@
         if not self.many or (job.rank == 2 and lane.held):
             return job.rank == 2 and lane.held > 0      # a late repeat: others wait for that place
         over = math.sqrt(min(4.0, max(1.0, self.volumes[job.req.volume].use)))
+        may = self.least_aim * CROWD * (2.0, 1 / over, 0.25)[job.rank] * self.random.uniform(0.5, 1.5)
+        return self._queue(lane) > min(may, job.wanted - self.now - self.unit_s * job.req.units)
+
+    def _queue(self, lane: _Lane) -> float:
+        """The wait at the node itself: what its answers told, the older the more what all nodes' did, or the
+        silence of what is out."""
         usual = sorted(self.waits)[len(self.waits) // 2] * 0.5 ** ((self.now - self.seen) / FRESH_S)
         faded = usual + (lane.wait - usual) * 0.5 ** ((self.now - lane.seen) / FRESH_S)
-        wait = max(faded, self.now - lane.heard - lane.response if lane.out else 0.0)
-        may = self.least_aim * CROWD * (2.0, 1 / over, 0.25)[job.rank] * self.random.uniform(0.5, 1.5)
-        return bool(wait > min(may, job.wanted - self.now - self.unit_s * job.req.units))
+        return float(max(faded, self.now - lane.heard - lane.response if lane.out else 0.0))
 
     def _offer(self, job: _Job, lane: _Lane, front: bool = False) -> None:
         """Hold, send what the bound lets. What stays held has a timer: some come with hardly any time."""
@@ -302,11 +306,12 @@
     def _place(self, job: _Job) -> _Lane | None:
         """A node for a new object: the better of two drawn ones that are well, so that heads do not herd."""
         drawn = [self.lanes[c] for c in self.random.sample(self.cells, min(4, len(self.cells)))]
-        fit = [x for x in drawn if x.sound() and x.born is None] or [x for x in drawn if x.sound()] or drawn
+        fit = [x for x in drawn if not x.failed and x.born is None] or [x for x in drawn if x.sound()] or drawn
         return min(fit[:2], key=lambda x: (self._wait(x), x.cell), default=None)
 
     def _wait(self, lane: _Lane) -> float:
-        return self._response(lane) * (1 + (len(lane.out) + lane.held) / lane.bound)
+        ours = self._response(lane) * (1 + (len(lane.out) + lane.held) / lane.bound)
+        return ours + self._queue(lane) * self.many
 
     def _hold(self, job: _Job, lane: _Lane, front: bool = False) -> None:
         flow = lane.flows.setdefault(job.req.volume, _Flow(job.plan.weight))
