--- a/fawnspool/control.py
+++ b/fawnspool/control.py
@@ -421,7 +421,7 @@
 
     def _forecast(self, lane: _Lane) -> list[tuple[_Job, float]]:
         """Held requests in the order in which tags would send them, and when each would be done."""
-        response = self._response(lane)
+        response = self._queue(lane) + self.unit_s * self.s.mean_units if self.many else self._response(lane)
         order = [(flow.tag + (flow.out + k) * self._step(flow, lane), volume, k, job)
                  for volume, flow in lane.active.items() for k, job in enumerate(flow.queue)]
         room, budget = int(lane.bound), self._cold_budget(lane)
@@ -470,12 +470,13 @@
         elif event.result is Result.SERVED or (
                 event.result is Result.TIMED_OUT and lane.heard < attempt.sent):    # else lost on the way
             took = self.now - attempt.sent
-            lane.response += (took - lane.response) * (GAIN if lane.response else 1.0)
+            fresh = max(GAIN, 1 - 0.5 ** ((self.now - lane.seen) / FRESH_S))    # rare answers count for more
+            lane.response += (took - lane.response) * (fresh if lane.response else 1.0)
             # Work a unit: about the lower quarter of what answers took, over all nodes. The rest is waiting.
             self.unit_s = self.unit_s or took / job.req.units
             waited = max(0.0, took - self.unit_s * job.req.units)
             self.unit_s *= 1.01 if waited else 0.97
-            lane.wait += max(GAIN, 1 - 0.5 ** ((self.now - lane.seen) / FRESH_S)) * (waited - lane.wait)
+            lane.wait += fresh * (waited - lane.wait)
             self.waits.append(waited)
             lane.seen = self.seen = self.now
             flow = lane.flows[job.req.volume]
