--- a/fawnspool/control.py
+++ b/fawnspool/control.py
@@ -231,12 +231,12 @@
             return job.rank == 2 and lane.held > 0      # a late repeat: others wait for that place
         over = math.sqrt(min(4.0, max(1.0, self.volumes[job.req.volume].use)))
         may = self.least_aim * CROWD * (2.0, 1 / over, 0.25)[job.rank] * self.random.uniform(0.5, 1.5)
-        return self._queue(lane) > min(may, job.wanted - self.now - self.unit_s * job.req.units)
+        return self._queue(lane, job.rank > 0) > min(may, job.wanted - self.now - self.unit_s * job.req.units)
 
-    def _queue(self, lane: _Lane) -> float:
+    def _queue(self, lane: _Lane, all_nodes: bool = True) -> float:
         """The wait at the node itself: what its answers told, the older the more what all nodes' did, or the
         silence of what is out."""
-        usual = sorted(self.waits)[len(self.waits) // 2] * 0.5 ** ((self.now - self.seen) / FRESH_S)
+        usual = all_nodes * sorted(self.waits)[len(self.waits) // 2] * 0.5 ** ((self.now - self.seen) / FRESH_S)
         faded = usual + (lane.wait - usual) * 0.5 ** ((self.now - lane.seen) / FRESH_S)
         return float(max(faded, self.now - lane.heard - lane.response if lane.out else 0.0))
 
