--- a/fawnspool/control.py
+++ b/fawnspool/control.py
@@ -381,7 +381,8 @@
         lane.out[job.req.id, len(job.tries)] = self.now
         flow.out += 1
         job.tries.append(_Attempt(lane.node, self.now))
-        self.acts.append(Send(job.req.id, lane.node))
+        # Past its aim it only keeps others waiting at the node: nodes drop what is out of time, or stop it.
+        self.acts.append(Send(job.req.id, lane.node, max(job.wanted - self.now, self.look) * self.many))
 
     def _cold_budget(self, lane: _Lane) -> float | None:
         """Units that this head may send a young node in any `fall` seconds; None: it is warm. Grows as the
