--- a/fawnspool/control.py
+++ b/fawnspool/control.py
@@ -467,10 +467,11 @@
         elif event.result in (Result.SERVED, Result.ERROR, Result.FULL):
             self._alive(lane)
         if event.result is Result.FULL:
-            lane.bound = max(1.0, lane.bound / 2)
+            lane.bound, lane.wait, lane.seen = max(1.0, lane.bound / 2), self.least_aim + lane.wait, self.now
         elif event.result is Result.SERVED or (
                 event.result is Result.TIMED_OUT and lane.heard < attempt.sent):    # else lost on the way
-            took = self.now - attempt.sent
+            # A time-out tells only that the wait is longer than that: each in a row adds to it.
+            took = self.now - attempt.sent + lane.wait * (event.result is Result.TIMED_OUT)
             fresh = max(GAIN, 1 - 0.5 ** ((self.now - lane.seen) / FRESH_S))    # rare answers count for more
             lane.response += (took - lane.response) * (fresh if lane.response else 1.0)
             # Work a unit: about the lower quarter of what answers took, over all nodes. The rest is waiting.
