--- a/fawnspool/control.py
+++ b/fawnspool/control.py
@@ -142,7 +142,7 @@
         self.most = 2 * START_BOUND if self.many else max(START_BOUND, BOUND_ALL / settings.heads)
         self.now, self.unit_s, self.seen, self.since = 0.0, 0.0, 0.0, -1.0
         self.cells = list[int]()                # those that have a node
-        self.waits = deque([0.0], maxlen=9)     # all nodes' last ones: their median is for a node unheard
+        self.waits, self.usual = deque([0.0], maxlen=9), 0.0    # all nodes' last ones, their median
         self.ticking = self.unsure = False      # a timer is set; only a saved list so far
         self.handlers: dict[type, Callable[[Any], None]] = {
             NodeList: self._on_list, Request: self._on_request, Outcome: self._on_outcome,
@@ -163,8 +163,7 @@
         known = self.nodes if event.kind is ListKind.CHANGES else {}
         known.update((entry.node, entry) for entry in event.entries)
         self.nodes = {n: entry for n, entry in known.items() if entry.phase is not Phase.GONE}
-        if saved:
-            # A fresh head's list may be old: ask at once, and until an answer take every node for cold.
+        if saved:   # it may be old: ask at once, and until an answer take every node for cold
             self.acts.append(Watch(True) if self.s.must_ask else FetchList())
         newest = sorted(self.nodes.values(), key=lambda entry: (entry.started, entry.node))
         ready = {entry.cell: entry for entry in newest if entry.phase is Phase.READY}
@@ -212,8 +211,7 @@
         if job.wanted <= self.now + self.look:
             job.rank, job.wanted = 2, job.ends
         elif plan.reserve and volume.reserve >= req.units:
-            volume.reserve -= req.units
-            job.rank = 0
+            volume.reserve, job.rank = volume.reserve - req.units, 0
         supply = plan.limit / (1 if self.s.peers else volume.heads) * (job.rank < 2)
         if plan.limit and volume.queued - volume.level + req.units > supply * (job.wanted - self.now):
             return self._end(job)   # beyond its limit: earns nothing, so it costs nothing either
@@ -225,8 +223,7 @@
 
         The bounds of many heads can't hold a node's queue down, but all see how long answers wait. What is
         beyond a reserve ends at a shorter wait, the more its volume uses the sooner; a late repeat soonest.
-        Drawn around the threshold, so that heads don't turn at once. Guards against any shortage at a node.
-        Harm: a pause looks like a crowd while its answers are fresh."""
+        Drawn, lest heads turn at once. Guards against any shortage. Harm: a pause looks like a crowd."""
         if not self.many or (job.rank == 2 and lane.held):
             return job.rank == 2 and lane.held > 0      # a late repeat: others wait for that place
         over = math.sqrt(min(4.0, max(1.0, self.volumes[job.req.volume].use)))
@@ -234,11 +231,10 @@
         return self._queue(lane, job.rank > 0) > min(may, job.wanted - self.now - self.unit_s * job.req.units)
 
     def _queue(self, lane: _Lane, all_nodes: bool = True) -> float:
-        """The wait at the node itself: what its answers told, the older the more what all nodes' did, or the
-        silence of what is out."""
-        usual = all_nodes * sorted(self.waits)[len(self.waits) // 2] * 0.5 ** ((self.now - self.seen) / FRESH_S)
+        """Wait at the node: as its answers told (if old, more as all nodes' did), or the silence since."""
+        usual = all_nodes * self.usual * 0.5 ** ((self.now - self.seen) / FRESH_S)
         faded = usual + (lane.wait - usual) * 0.5 ** ((self.now - lane.seen) / FRESH_S)
-        return float(max(faded, self.now - lane.heard - lane.response if lane.out else 0.0))
+        return max(faded, self.now - lane.heard - lane.response if lane.out else 0.0)
 
     def _offer(self, job: _Job, lane: _Lane, front: bool = False) -> None:
         """Hold, send what the bound lets. What stays held has a timer: some come with hardly any time."""
@@ -285,8 +281,8 @@
             self.acts += [Tell(head, body) for head in asked] or [Tell(None, body)]
 
     def _on_peer(self, event: PeerMessage) -> None:
-        """Units of a limit move between heads: the lender takes them off before it tells, and no part holds
-        more than its even depth, so all heads together stay within it whatever is lost."""
+        """Units of a limit move: a lender takes them off before it tells, no part passes its even depth,
+        so all heads together stay within it whatever is lost."""
         what, ident, units = _PEER.unpack(event.body) if len(event.body) == _PEER.size else (0, 0, 0.0)
         volume = self.volumes.get(ident)
         if volume is None or not 0 < units <= volume.plan.limit_depth:
@@ -304,10 +300,10 @@
                 self._turn(lane)
 
     def _place(self, job: _Job) -> _Lane | None:
-        """A node for a new object: the better of two drawn ones that are well, so that heads do not herd."""
+        """A node for a new object: the better of two drawn ones that are well, lest heads herd."""
         drawn = [self.lanes[c] for c in self.random.sample(self.cells, min(4, len(self.cells)))]
-        fit = [x for x in drawn if not x.failed and x.born is None] or [x for x in drawn if x.sound()] or drawn
-        return min(fit[:2], key=lambda x: (self._wait(x), x.cell), default=None)
+        fit = [x for x in drawn if x.born is None and not x.failed] or [x for x in drawn if x.sound()]
+        return min((fit or drawn)[:2], key=lambda x: (self._wait(x), x.cell), default=None)
 
     def _wait(self, lane: _Lane) -> float:
         ours = self._response(lane) * (1 + (len(lane.out) + lane.held) / lane.bound)
@@ -333,17 +329,15 @@
         self._volume(job).queued -= job.req.units * (not job.tries)
 
     def _turn(self, lane: _Lane) -> None:
-        """Send while the bound has room, whatever the forecast says: a node that looks too slow is only
-        found well again by an answer. Then turn away what can't be served in time."""
+        """Send while the bound has room, as only answers show a node well; then end what comes too late."""
         while lane.held and (job := self._next(lane)) and len(lane.out) < self._room(lane, job):
             self._send(job, lane)
         if lane.sound():
             self._shed(lane)
 
-    def _room(self, lane: _Lane, job: _Job) -> int:
+    def _room(self, lane: _Lane, job: _Job) -> int:     # a run that goes on costs less: one place more
         if not lane.sound():    # half open: one request tries the node, once its pause is over
             return int(lane.node is not None and self.now >= lane.trial_at)
-        # One place more for a run that goes on: it costs less while the node remembers it.
         return int(lane.bound) + (job.here() == lane.extent and 0 < lane.run < RUN_LIMIT)
 
     def _next(self, lane: _Lane) -> _Job | None:
@@ -421,7 +415,7 @@
             self._end(victim)
 
     def _forecast(self, lane: _Lane) -> list[tuple[_Job, float]]:
-        """Held requests in the order in which tags would send them, and when each would be done."""
+        """Held requests as tags would send them, and when each would be done."""
         response = self._queue(lane) + self.unit_s * self.s.mean_units if self.many else self._response(lane)
         order = [(flow.tag + (flow.out + k) * self._step(flow, lane), volume, k, job)
                  for volume, flow in lane.active.items() for k, job in enumerate(flow.queue)]
@@ -445,8 +439,8 @@
         if job is None or event.attempt >= len(job.tries) or not job.tries[event.attempt].open:
             return
         attempt, lane = job.tries[event.attempt], self.lanes[job.cell]
-        attempt.open = False
-        attempt.maybe_ran = event.result not in (Result.FULL, Result.UNREACHED, Result.MOOT)
+        never = event.result in (Result.FULL, Result.UNREACHED, Result.MOOT)
+        attempt.open, attempt.maybe_ran = False, not never
         if event.result in (Result.TIMED_OUT, Result.BROKEN, Result.CANCELLED) and job.key:
             self.settling[job.key] = self.now + self.s.settle_after_doubt
         if lane.out.pop((event.id, event.attempt), None) is not None:
@@ -460,18 +454,16 @@
         self._turn(lane)
 
     def _learn(self, lane: _Lane, job: _Job, event: Outcome, attempt: _Attempt) -> None:
-        """Health, bound and tags of the node that answered."""
-        if event.result in (Result.UNREACHED, Result.BROKEN):
+        silent = event.result is Result.TIMED_OUT and lane.heard <= attempt.sent    # else: lost on the way
+        if event.result in (Result.UNREACHED, Result.BROKEN) or silent:
             lane.shut |= event.result is Result.UNREACHED
             self._suspect(lane)
         elif event.result in (Result.SERVED, Result.ERROR, Result.FULL):
             self._alive(lane)
         if event.result is Result.FULL:
             lane.bound, lane.wait, lane.seen = max(1.0, lane.bound / 2), self.least_aim + lane.wait, self.now
-        elif event.result is Result.SERVED or (
-                event.result is Result.TIMED_OUT and lane.heard < attempt.sent):    # else lost on the way
-            # A time-out tells only that the wait is longer than that: each in a row adds to it.
-            took = self.now - attempt.sent + lane.wait * (event.result is Result.TIMED_OUT)
+        elif event.result is Result.SERVED or silent:
+            took = self.now - attempt.sent + lane.wait * silent     # a time-out: it waits longer than that
             fresh = max(GAIN, 1 - 0.5 ** ((self.now - lane.seen) / FRESH_S))    # rare answers count for more
             lane.response += (took - lane.response) * (fresh if lane.response else 1.0)
             # Work a unit: about the lower quarter of what answers took, over all nodes. The rest is waiting.
@@ -480,14 +472,15 @@
             self.unit_s *= 1.01 if waited else 0.97
             lane.wait += fresh * (waited - lane.wait)
             self.waits.append(waited)
+            self.usual = sorted(self.waits)[len(self.waits) // 2]
             lane.seen = self.seen = self.now
             flow = lane.flows[job.req.volume]
             flow.recent.append(took)
             flow.tag += self._step(flow, lane)
             wanted = self.least_aim * TARGET_SHARE / max(lane.response, 1e-3) * lane.bound + PULL
             if wanted < lane.bound or len(lane.out) + 1 >= int(lane.bound):
-                wanted = lane.bound + GAIN * (min(wanted, 2 * lane.bound) - lane.bound)
-                lane.bound = max(1.0, min(wanted, self.most))
+                step = GAIN * (min(wanted, 2 * lane.bound) - lane.bound)
+                lane.bound = max(1.0, min(lane.bound + step, self.most))
         lane.active = {v: f for v, f in lane.active.items() if f.queue or f.out}
         shift = self.now - min((f.tag for f in lane.active.values()), default=self.now)
         for f in lane.active.values():
@@ -527,8 +520,8 @@
     def _alive(self, lane: _Lane) -> None:
         lane.heard = self.now
         if lane.failed >= SIGNS:
-            if lane.shut and lane.born is None:
-                lane.born = self.now        # it may have restarted while it was away, unseen by the list
+            if lane.shut:       # it may have restarted while it was away, unseen by the list
+                lane.born = self.now if lane.born is None else lane.born
             self.acts.append(Log(f"node {lane.node} answers again"))
         lane.failed, lane.shut = 0, False
 
