--- a/fawnspool/control.py
+++ b/fawnspool/control.py
@@ -234,7 +234,7 @@
         """Wait at the node: as its answers told (if old, more as all nodes' did), or the silence since."""
         usual = all_nodes * self.usual * 0.5 ** ((self.now - self.seen) / FRESH_S)
         faded = usual + (lane.wait - usual) * 0.5 ** ((self.now - lane.seen) / FRESH_S)
-        return max(faded, self.now - lane.heard - lane.response if lane.out else 0.0)
+        return float(max(faded, self.now - lane.heard - lane.response if lane.out else 0.0))
 
     def _offer(self, job: _Job, lane: _Lane, front: bool = False) -> None:
         """Hold, send what the bound lets. What stays held has a timer: some come with hardly any time."""
