--- a/fawnspool/control.py
+++ b/fawnspool/control.py
@@ -465,7 +465,7 @@
         elif event.result is Result.SERVED or silent:
             took = self.now - attempt.sent + lane.wait * silent     # a time-out: it waits longer than that
             fresh = max(GAIN, 1 - 0.5 ** ((self.now - lane.seen) / FRESH_S))    # rare answers count for more
-            lane.response += (took - lane.response) * (fresh if lane.response else 1.0)
+            lane.response += (took - lane.response) * (GAIN if lane.response else 1.0)
             # Work a unit: about the lower quarter of what answers took, over all nodes. The rest is waiting.
             self.unit_s = self.unit_s or took / job.req.units
             waited = max(0.0, took - self.unit_s * job.req.units)
