--- a/fawnspool/control.py
+++ b/fawnspool/control.py
@@ -365,7 +365,6 @@
 
     def _send(self, job: _Job, lane: _Lane) -> None:
         assert lane.node is not None
-        flow = lane.flows[job.req.volume]
         self._unhold(job)
         self._volume(job).level -= job.req.units * (not job.tries)
         self.extras += [self.now] if job.tries and self.s.extra_free is not None else []
@@ -374,7 +373,7 @@
         lane.extent = job.here()
         lane.heard = lane.heard if lane.out else self.now
         lane.out[job.req.id, len(job.tries)] = self.now
-        flow.out += 1
+        lane.flows[job.req.volume].out += 1
         job.tries.append(_Attempt(lane.node, self.now))
         # Past its aim it only keeps others waiting at the node: nodes drop what is out of time, or stop it.
         self.acts.append(Send(job.req.id, lane.node, max(job.wanted - self.now, self.look) * self.many))
@@ -383,18 +382,19 @@
         """May a node that may have just started be sent one more request by this head?
 
         An answer gives its units back, so sends follow what the node does. Beyond that they grow by a part of
-        what the head usually had served there, so by all heads' what the node's like bore: times the surely
-        warm part and the rule's multiple less one, the sum stays within the multiple of its present power.
+        what each head had served there (all together: what such a node bore): the warm part times half the
+        rule's multiple less one, half being for chance; so the sum stays within the multiple of its power.
         Drawn starts, lest all begin at once; a head with a saved list alone begins with one request."""
         age = math.inf if lane.born is None else self.now - lane.born - self.s.fall
         if lane.born is None or age >= self.s.warm_after:
             lane.born = None
             return True
         if lane.credited < lane.born:
-            lane.credited, lane.credit = lane.born, -self.random.uniform(0.0, self.s.mean_units * (not self.unsure))
+            first = self.s.mean_units * (not self.unsure)
+            lane.credited, lane.credit = lane.born, -first * self.random.random()
         usual = lane.served / max(lane.born - self.since, self.s.warm_after)
         warm = self.s.cold_capacity + (1 - self.s.cold_capacity) * max(0.0, age) / self.s.warm_after
-        grown = (self.s.fall_multiple - 1) * warm * usual * (self.now - lane.credited)
+        grown = (self.s.fall_multiple - 1) / 2 * warm * usual * (self.now - lane.credited)
         lane.credited, lane.credit = self.now, min(0.0, lane.credit + grown)
         return lane.credit >= 0
 
