Even parts of a reserve's burst; time attempts out at their aim with few heads too

Cause: each head took a whole burst of the reserve for its own, so at size much beyond a reserve passed for inside. One branch on the number of heads less.

--- a/fawnspool/control.py
+++ b/fawnspool/control.py
@@ -211,7 +211,7 @@
         volume = self._volume(job)
         if job.wanted <= self.now + self.look:
             job.rank, job.wanted = 2, job.ends
-        elif plan.reserve and volume.reserve >= req.units:
+        elif plan.reserve and volume.reserve > 0:
             volume.reserve, job.rank = volume.reserve - req.units, 0
         supply = plan.limit / (1 if self.s.peers else volume.heads) * (job.rank < 2)
         if plan.limit and volume.queued - volume.level + req.units > supply * (job.wanted - self.now):
@@ -254,7 +254,7 @@
         if volume is None:
             # Its part of a limit fills from the head's start on: an earlier life may have drawn it till then.
             volume = _Volume(job.plan, max(1, job.req.heads), filled=self.since, served=self.now)
-            volume.reserve = self.s.largest_units + job.plan.reserve / volume.heads
+            volume.reserve = (self.s.largest_units + job.plan.reserve) / volume.heads
             self.volumes[job.req.volume] = volume
         self.volumes.move_to_end(job.req.volume)
         volume.heads = max(volume.heads, job.req.heads)
@@ -265,7 +265,7 @@
         plan, passed = volume.plan, self.now - volume.filled
         volume.level = min(plan.limit_depth, volume.level * volume.heads + passed * plan.limit) / volume.heads
         fill = max(volume.part, 1 / volume.heads) * plan.reserve
-        volume.reserve = min(fill + self.s.largest_units, volume.reserve + passed * fill)
+        volume.reserve = min(fill + self.s.largest_units / volume.heads, volume.reserve + passed * fill)
         volume.filled = self.now
 
     def _ask(self, ident: int, volume: _Volume) -> None:
@@ -376,7 +376,7 @@
         lane.flows[job.req.volume].out += 1
         job.tries.append(_Attempt(lane.node, self.now))
         # Past its aim it only keeps others waiting at the node: nodes drop what is out of time, or stop it.
-        self.acts.append(Send(job.req.id, lane.node, max(job.wanted - self.now, self.look) * self.many))
+        self.acts.append(Send(job.req.id, lane.node, max(job.wanted - self.now, self.look)))
 
     def _cold_room(self, lane: _Lane) -> bool:
         """May a node that may have just started be sent one more request by this head?
