--- a/tests/test_size.py
+++ b/tests/test_size.py
@@ -226,7 +226,7 @@
 
 
 def test_all_heads_parts_of_a_reserve_make_one_reserve() -> None:
-    """Kochi's quiet day: each head took a whole burst for its volume's, and what was beyond crowded it out."""
+    """Kochi's quiet day: each head took a whole burst for its volume's, what was beyond crowded it out."""
     plan = make_plan(reserve=10.0)
     fleet = [Head(make_settings(heads=MANY, plans=(plan,)), seed=k) for k in range(20)]
     inside = 0.0
