New objects may go to a cold node with room

Cause: in a release most nodes are cold at once, and all new objects, then reads of them, went to the few that were not: 36% of sends to five nodes. The rule for cold nodes counts these sends like any other.

--- a/fawnspool/control.py
+++ b/fawnspool/control.py
@@ -303,7 +303,7 @@
     def _place(self, job: _Job) -> _Lane | None:
         """A node for a new object: the better of two drawn ones that are well, lest heads herd."""
         drawn = [self.lanes[c] for c in self.random.sample(self.cells, min(4, len(self.cells)))]
-        fit = [x for x in drawn if x.born is None and not x.failed] or [x for x in drawn if x.sound()]
+        fit = [x for x in drawn if not x.failed and self._cold_room(x)] or [x for x in drawn if x.sound()]
         return min((fit or drawn)[:2], key=lambda x: (self._wait(x), x.cell), default=None)
 
     def _wait(self, lane: _Lane) -> float:
