--- a/fawnspool/control.py
+++ b/fawnspool/control.py
@@ -389,9 +389,9 @@
         if lane.born is None or age >= self.s.warm_after:
             lane.born = None
             return True
-        if lane.credited < lane.born:
+        if lane.credited < lane.born - self.s.fall:
             first = self.s.mean_units * (not self.unsure)
-            lane.credited, lane.credit = lane.born, -first * self.random.random()
+            lane.credited, lane.credit = lane.born - self.s.fall, -first * self.random.random()
         usual = lane.served / max(lane.born - self.since, self.s.warm_after)
         warm = self.s.cold_capacity + (1 - self.s.cold_capacity) * max(0.0, age) / self.s.warm_after
         grown = (self.s.fall_multiple - 1) / 2 * warm * usual * (self.now - lane.credited)
