Write recordings, the saved list and spans behind the head's loop

A disk that writes back held the loop for up to a tenth of a second, and a full disk ended it: an error of the recording's write left the loop without its greenlet. One thread now does a head's file work in the order given, with a bound on what waits; a recording that can't go on stops where it is, is logged and counted, and the requests go on.

--- a/fawnspool/head/head.py
+++ b/fawnspool/head/head.py
@@ -30,6 +30,7 @@
 from fawnspool.net.http import BadMessage
 from fawnspool.net.nodewire import TOLD, Call, read_told
 from fawnspool.net.server import address
+from fawnspool.records.behind import Behind
 from fawnspool.records.module import Recorder, module_hash
 from fawnspool.telemetry import logs
 from fawnspool.telemetry.metrics import HeadMetrics
@@ -65,14 +66,16 @@
         self.numbers = {v.name: volume_number(v.name) for v in config.volume}
         self.rates = {v.name: config.plan[self.plans[v.plan]].rate for v in config.volume}
         self.metrics = HeadMetrics(self.gauges)
-        self.traces = Traces(h.trace, h.trace_share, f"head-{h.number}") if h.trace else None
+        self.behind = Behind()
+        self.traces = Traces(h.trace, h.trace_share, f"head-{h.number}", self.behind) if h.trace else None
         self.pending: dict[int, Pending] = {}
         self.to_look: list[int] = []
         self.pools: dict[tuple[str, int], Pool] = {}
         self.ids = time.time_ns() // 1_000_000 << 20    # a later life's numbers are higher
         self.started = time.monotonic()
         module = make_policy(h.policy, self.settings, h.seed)
-        recorder = Recorder(h.record, h.policy, self.settings, h.seed, module_hash(module)) if h.record else None
+        recorder = Recorder(h.record, h.policy, self.settings, h.seed, module_hash(module),
+                            self.behind) if h.record else None
         self.table: dict[type, Callable[[Any], None]] = {
             i.Send: self._send, i.Refuse: self._refuse, i.Fail: self._fail, i.Cancel: self._cancel,
             i.SetTimer: lambda a: self.loop.set_timer(a.delay, a.token), i.Probe: self._probe,
@@ -81,12 +84,13 @@
         self.workers = Workers(_WORKERS_IDLE)
         self.loop = Loop(module, self.table, self.metrics, self.log, self._raised, recorder)
         if rows is not None:
-            self.list: ListClient = FixedList(rows, config.nodes.zones, config.nodes.kinds, self.loop.tell, self.log)
+            self.list: ListClient = FixedList(rows, config.nodes.zones, config.nodes.kinds, self.loop.tell, self.log,
+                                              self.behind)
         else:
             self.list = ListClient(
                 address(config.list.address), h.number, config.nodes.zones, config.nodes.kinds,
                 config.list.mode == "push", config.list.call_timeout, Path(h.data) / "list.json", self.loop.tell,
-                self.log)
+                self.log, self.behind)
         self.locator = Locator(source or CatalogueClient(address(config.catalogue.address),
                                                          config.catalogue.call_timeout), config.catalogue.entries)
         self.peers: Peers | None = None
@@ -109,6 +113,8 @@
         self.loop.stop()
         if self.traces is not None:
             self.traces.close()
+        if not self.behind.close():
+            self.log.error("not all records are written: the disk is too slow", bytes=self.behind.waits)
 
     def _measure_lag(self) -> None:
         while True:
--- a/fawnspool/head/lists.py
+++ b/fawnspool/head/lists.py
@@ -1,6 +1,7 @@
 """The head's side of the node list: a watch that stands, single calls, and the last list kept on disk."""
 from __future__ import annotations
 
+import functools
 import json
 import os
 import time
@@ -15,6 +16,7 @@
 from fawnspool import interface as i
 from fawnspool.net.client import Broken, Link, NotReached, Pool, call
 from fawnspool.net.http import BadMessage, request_bytes
+from fawnspool.records.behind import Behind
 
 _BEATS = 2.0            # beats of a watch that may be missing, in units of the call time-out
 
@@ -58,9 +60,10 @@
     settled here."""
 
     def __init__(self, address: tuple[str, int], head: int, zones: tuple[str, ...], kinds: tuple[str, ...],
-                 pushes: bool, timeout: float, saved: Path, tell: Callable[[Any], None], log: Any) -> None:
+                 pushes: bool, timeout: float, saved: Path, tell: Callable[[Any], None], log: Any,
+                 behind: Behind) -> None:
         self.head, self.zones, self.kinds, self.pushes, self.timeout = head, zones, kinds, pushes, timeout
-        self.saved, self.tell, self.log = saved, tell, log
+        self.saved, self.tell, self.log, self.behind = saved, tell, log, behind
         self.pool = Pool(address, 4, timeout, 60.0)
         self.nodes: dict[int, Known] = {}
         self.rows: dict[int, Row] = {}
@@ -187,12 +190,16 @@
         self.tell(i.NodeList(kind, version, tuple(entries)))
 
     def _save(self) -> None:
+        data = json.dumps({"version": self.version, "entries": [msgspec.to_builtins(r) for r in self.rows.values()]})
+        if not self.behind.put(functools.partial(self._write, data.encode()), len(data)):
+            self.log.error("the list can't be saved", error="the disk is too slow")
+
+    def _write(self, data: bytes) -> None:
         """Beside, then renamed: a kill leaves the old list or the new one."""
         draft = self.saved.with_suffix(".draft")
         try:
             self.saved.parent.mkdir(parents=True, exist_ok=True)
-            draft.write_bytes(json.dumps({"version": self.version, "entries": [
-                msgspec.to_builtins(r) for r in self.rows.values()]}).encode())
+            draft.write_bytes(data)
             os.replace(draft, self.saved)
         except OSError as bad:
             self.log.error("the list can't be saved", error=str(bad))
@@ -202,8 +209,8 @@
     """A list that is given once, for a head with embedded nodes."""
 
     def __init__(self, rows: list[Row], zones: tuple[str, ...], kinds: tuple[str, ...],
-                 tell: Callable[[Any], None], log: Any) -> None:
-        super().__init__(("127.0.0.1", 0), 0, zones, kinds, False, 1.0, Path(os.devnull), tell, log)
+                 tell: Callable[[Any], None], log: Any, behind: Behind) -> None:
+        super().__init__(("127.0.0.1", 0), 0, zones, kinds, False, 1.0, Path(os.devnull), tell, log, behind)
         self.given = rows
 
     def start(self) -> None:
--- a/fawnspool/head/loop.py
+++ b/fawnspool/head/loop.py
@@ -81,7 +81,7 @@
                 gevent.sleep(0)     # let sockets move between two rounds
                 continue
             if self.recorder is not None:
-                self.recorder.flush()
+                self._record()
             if self.stopping:
                 return
             self.flag.shut()
@@ -89,6 +89,17 @@
             self.flag.wait(self.timers[0][0] if self.timers else None)
             self.asleep = False
 
+    def _record(self) -> None:
+        """Write on; a recording that can't be written costs the recording, never a request."""
+        assert self.recorder is not None
+        self.recorder.flush()
+        if self.recorder.stopped:
+            self.log.error("recording stopped: make room or set a faster place under `record`, then restart",
+                           why=self.recorder.stopped)
+            self.metrics.recordings_stopped += 1
+            self.recorder.close()
+            self.recorder = None
+
     def _handle(self, event: Any) -> None:
         now, began, error = time.monotonic(), time.perf_counter(), ""
         before = getattr(self.module, "acts", None)
--- a/fawnspool/records/frames.py
+++ b/fawnspool/records/frames.py
@@ -59,12 +59,21 @@
         self.add(value)
         self.flush()
 
-    def flush(self) -> None:
-        view = memoryview(bytes(self.buffer))
+    def taken(self) -> bytes:
+        """What the buffer holds, which is empty after it; for `write`."""
+        data = bytes(self.buffer)
         self.buffer.clear()
+        return data
+
+    def write(self, data: bytes) -> None:
+        """Write whole frames. Raises OSError; what was written then ends in a torn frame."""
+        view = memoryview(data)
         while view:
             view = view[os.write(self.fd, view):]
 
+    def flush(self) -> None:
+        self.write(self.taken())
+
     def close(self) -> None:
         if self.fd >= 0:
             self.flush()
--- a/fawnspool/records/module.py
+++ b/fawnspool/records/module.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import dataclasses
+import functools
 import hashlib
 from collections.abc import Callable, Iterator
 from enum import Enum
@@ -16,6 +17,7 @@
 import msgspec
 
 from fawnspool import interface as i
+from fawnspool.records.behind import Behind
 from fawnspool.records.frames import Reader, RecordingError, Writer
 
 FORM, VERSION = "module", 1
@@ -92,23 +94,46 @@
 
 
 class Recorder:
-    """Writes a module's life to a file, in batches."""
-
-    def __init__(self, path: str | Path, policy_name: str, settings: i.Settings, seed: int, module: str) -> None:
-        self.writer = Writer(path)
+    """Writes a module's life to a file, in batches. With `behind` another thread does the writing. A recording that
+    can't be written on (a full disk, a disk too slow) stops where it is, which `stopped` tells: what it holds up to
+    there stays readable, and the program it records goes on."""
+
+    def __init__(self, path: str | Path, policy_name: str, settings: i.Settings, seed: int, module: str,
+                 behind: Behind | None = None) -> None:
+        self.writer, self.behind = Writer(path), behind
+        self.stopped = ""
         self.writer.put({"form": FORM, "version": VERSION, "policy": policy_name, "seed": seed,
                          "settings": msgspec.to_builtins(settings), "module": module})
 
     def note(self, now: float, event: Any, actions: list[Any], error: str = "") -> None:
+        if self.stopped:
+            return
         self.writer.add([now, event_row(event), [action_row(a) for a in actions], error])
         if len(self.writer.buffer) > 65536:
-            self.writer.flush()
+            self.flush()
 
     def flush(self) -> None:
-        self.writer.flush()
+        data = self.writer.taken()
+        if not data or self.stopped:
+            return
+        if self.behind is None:
+            self._write(data)
+        elif not self.behind.put(functools.partial(self._write, data), len(data)):
+            self.stopped = f"{self.writer.path}: the disk is too slow: {self.behind.waits} bytes wait to be written"
+
+    def _write(self, data: bytes) -> None:
+        if self.stopped:
+            return
+        try:
+            self.writer.write(data)
+        except OSError as bad:
+            self.stopped = f"{self.writer.path}: {bad.strerror or bad}"
 
     def close(self) -> None:
-        self.writer.close()
+        """Hand over what is left and close the file after it."""
+        self.flush()
+        if self.behind is None or not self.behind.put(self.writer.close):
+            self.writer.close()
 
 
 @dataclasses.dataclass
--- a/fawnspool/telemetry/metrics.py
+++ b/fawnspool/telemetry/metrics.py
@@ -45,6 +45,7 @@
         self.head_wait: dict[str, Histogram] = {}
         self.node_time: dict[int, Histogram] = {}
         self.module_seconds, self.module_events, self.module_errors = 0.0, 0, 0
+        self.recordings_stopped = 0
         self.bad_requests: dict[int, int] = {}
         self.lag = Histogram()
         self.lag_last = 0.0
@@ -100,6 +101,8 @@
                 ("fawnspool_module_seconds", "Time spent in the decision module.", self.module_seconds),
                 ("fawnspool_module_events", "Events told to the decision module.", self.module_events),
                 ("fawnspool_module_errors", "Events on which the decision module raised.", self.module_errors),
+                ("fawnspool_recordings_stopped", "Recordings ended early: the disk was full or too slow.",
+                 self.recordings_stopped),
                 ("fawnspool_overdue", "Answers given by the head's own deadline, not by the module.", self.overdue),
                 ("fawnspool_received_bytes", "Bytes of bodies from clients.", self.bytes_in),
                 ("fawnspool_sent_bytes", "Bytes of bodies to clients.", self.bytes_out)):
--- a/fawnspool/telemetry/traces.py
+++ b/fawnspool/telemetry/traces.py
@@ -5,6 +5,7 @@
 """
 from __future__ import annotations
 
+import functools
 import json
 import time
 from pathlib import Path
@@ -16,22 +17,29 @@
 from opentelemetry.sdk.trace.sampling import TraceIdRatioBased
 from opentelemetry.trace import set_span_in_context
 
+from fawnspool.records.behind import Behind
+
 
 class _Lines(SpanExporter):
     """Writes each span as one line."""
 
-    def __init__(self, path: Path) -> None:
+    def __init__(self, path: Path, behind: Behind) -> None:
         path.parent.mkdir(parents=True, exist_ok=True)
-        self.file = path.open("a", encoding="utf-8")
+        self.file, self.behind = path.open("a", encoding="utf-8"), behind
 
     def export(self, spans: Any) -> SpanExportResult:
-        for span in spans:
-            self.file.write(json.dumps(_row(span)) + "\n")
+        text = "".join(json.dumps(_row(span)) + "\n" for span in spans)
+        if self.behind.put(functools.partial(self._write, text), len(text)):
+            return SpanExportResult.SUCCESS
+        return SpanExportResult.FAILURE
+
+    def _write(self, text: str) -> None:
+        self.file.write(text)
         self.file.flush()
-        return SpanExportResult.SUCCESS
 
     def shutdown(self) -> None:
-        self.file.close()
+        if not self.behind.put(self.file.close):
+            self.file.close()
 
 
 def _row(span: ReadableSpan) -> dict[str, Any]:
@@ -45,9 +53,9 @@
 class Traces:
     """Draws and writes traces. Times given are monotonic seconds."""
 
-    def __init__(self, path: str, share: float, name: str) -> None:
+    def __init__(self, path: str, share: float, name: str, behind: Behind) -> None:
         provider = TracerProvider(resource=Resource({"service.name": name}), sampler=TraceIdRatioBased(share))
-        provider.add_span_processor(SimpleSpanProcessor(_Lines(Path(path))))
+        provider.add_span_processor(SimpleSpanProcessor(_Lines(Path(path), behind)))
         self.provider, self.tracer = provider, provider.get_tracer("fawnspool")
         self.offset = time.time() - time.monotonic()
 
--- a/tests/e2e/test_services.py
+++ b/tests/e2e/test_services.py
@@ -14,6 +14,7 @@
 from fawnspool.head.locator import CatalogueClient, Locator, LocatorError
 from fawnspool.head.peers import Peers, Seen
 from fawnspool.head.workers import Workers
+from fawnspool.records.behind import Behind
 from fawnspool.standins.catalogue import Catalogue, CatalogueServer
 from fawnspool.standins.meter import MeterClient, MeterServer
 from fawnspool.standins.node import Repeats
@@ -34,7 +35,7 @@
     def __init__(self, server: NodeListServer, tmp: Path, pushes: bool) -> None:
         self.events: list[i.NodeList] = []
         self.client = ListClient(server.where, 0, ("zone-a",), ("node",), pushes, 0.5, tmp / "list.json",
-                                 self.events.append, logs.get())
+                                 self.events.append, logs.get(), Behind())
 
     def kinds(self) -> list[i.ListKind]:
         return [e.kind for e in self.events]
