--- a/fawnspool/days/worth.py
+++ b/fawnspool/days/worth.py
@@ -26,6 +26,7 @@
     units: float
     how: str
     took: float = 0.0
+    head: int = -1               # at which the last try was made
 
 
 @dataclass
@@ -46,11 +47,12 @@
 
 @dataclass
 class Service:
-    """Sums by class and plan, by plan, by window of time, and of the whole."""
+    """Sums by class and plan, by plan, by window of time, by head, and of the whole."""
 
     rows: dict[tuple[str, str], Row] = field(default_factory=lambda: defaultdict(Row))
     plans: dict[str, Row] = field(default_factory=lambda: defaultdict(Row))
     windows: dict[int, Row] = field(default_factory=lambda: defaultdict(Row))
+    heads: dict[int, Row] = field(default_factory=lambda: defaultdict(Row))
     whole: Row = field(default_factory=Row)
 
 
@@ -127,7 +129,8 @@
         elif r.how == "late":
             earned = _take(levels, r.units, False) * cls.late_worth
         scale = cls.worth * factor / day.units.mean
-        for row in (out.rows[cls.name, r.plan], out.plans[r.plan], out.windows[int(r.at // window)], out.whole):
+        for row in (out.rows[cls.name, r.plan], out.plans[r.plan], out.windows[int(r.at // window)],
+                    out.heads[r.head], out.whole):
             row.asked += 1
             row.in_time += r.how == "in time"
             row.late += r.how == "late"
--- a/fawnspool/model/world.py
+++ b/fawnspool/model/world.py
@@ -36,6 +36,7 @@
 
 Policy = Callable[[i.Settings, int], Any]
 _START = 1000.0          # the clock at the day's begin: starts of "long ago" lie well before it
+BEGIN = _START + 1.0     # when the first second of the day's script begins
 FRESH_MOST = 400
 
 
@@ -172,7 +173,6 @@
         self.life += 1
         self.up = True
         self.ids = self.life << 24
-        self.policy = policy
         self.module = policy(self.settings, self.config.head.seed)
         self.pending: dict[int, _Pending] = {}
         self.warm: set[int] = set()
@@ -231,6 +231,7 @@
             actions = self.module.handle(w.engine.now, event)
         except Exception as bad:
             w.errors.append(f"{w.engine.now - _START:.3f} s, head {self.number}: {type(bad).__name__}: {bad}")
+            w.raised[self.number] = w.raised.get(self.number, 0) + 1
             actions = []
             ident = getattr(event, "id", None)
             if ident in self.pending:
@@ -457,6 +458,7 @@
         self.net, self.retries = Random(f"{seed}-net"), Random(f"{seed}-clients")
         self.rows: list[dict[str, Any]] = []
         self.errors: list[str] = []
+        self.raised: dict[int, int] = {}
         self.events = 0
         self.ended: list[Served] = []
         self.zones = tuple(f"zone-{chr(97 + k)}" for k in range(day.fleet.zones))
@@ -479,7 +481,7 @@
             self.cells.append(node)
         self.meter_sums: dict[int, float] = {}
         self.meter_last: dict[int, float] = {}
-        self.policy = policy
+        self.policies: list[Policy] = [policy] * day.day.heads     # of each head, from its next start on
         self.heads = [_Head(self, k) for k in range(day.day.heads)]
         self.fresh: dict[str, deque[tuple[str, int]]] = {}
         self.ops = make(day, seed) if ops is None else ops
@@ -506,8 +508,8 @@
 
     def run(self) -> list[Served]:
         for head in self.heads:
-            head.start(self.policy)
-        begin = _START + 1.0
+            head.start(self.policies[head.number])
+        begin = BEGIN
         if self.day.service.meter:
             self.engine.after(self.day.service.meter, self._meter)
         for op in self.ops:
@@ -560,7 +562,7 @@
             if pause is not None:
                 turned = heads[1:] + heads[:1] if how == "unreached" and len(heads) > 1 else heads
                 return self.engine.after(pause, self._try, op, key, size, n + 1, turned, began)
-            self._end(op, key, size, how, elapsed)
+            self._end(op, key, size, how, elapsed, head)
 
         asked = _Try(op, n, head, now, patience, key, size, done)
         at = self.heads[head]
@@ -591,7 +593,7 @@
         self.note("got", op=asked.op.name, n=asked.n, head=asked.head, how=how, s=status)
         asked.done(how, advice)
 
-    def _end(self, op: Op, key: str, size: int, how: str, elapsed: float) -> None:
+    def _end(self, op: Op, key: str, size: int, how: str, elapsed: float, head: int) -> None:
         if how == "served":
             how = "in time" if elapsed <= self.day.class_[op.cls].aim else "late"
             if op.writes:
@@ -599,7 +601,7 @@
         elif how != "left":
             how = "refused" if how in ("refused", "unreached") else "failed"
         units = float(max(1, min(self.day.units.largest, -(-op.size // self.day.units.bytes))))
-        self.ended.append(Served(op.at, op.volume, self.plan_of[op.volume], op.cls, units, how, elapsed))
+        self.ended.append(Served(op.at, op.volume, self.plan_of[op.volume], op.cls, units, how, elapsed, head))
 
     # ------------------------------------------------------------ nodes
 
@@ -762,7 +764,7 @@
         elif x.kind in ("head_kill", "head_roll"):
             rounds = [heads] if x.kind == "head_kill" else batches(self.day, x)
             for k, some in enumerate(rounds):
-                after(k * max(x.length / len(rounds), x.down), self._restart, some, x.down)
+                after(k * max(x.length / len(rounds), x.down), self.restart, some, x.down)
         elif x.kind == "head_stall":
             for k in heads:
                 for at in stall_times(self.day, self.seed, x, k):
@@ -825,9 +827,13 @@
         self.cells[cell] = node
         self.change(node, "ready")
 
-    def _restart(self, heads: list[int], down: float) -> None:
+    def _start_head(self, head: _Head) -> None:
+        if not head.up:
+            head.start(self.policies[head.number])
+
+    def restart(self, heads: list[int], down: float) -> None:
         for k in heads:
             head = self.heads[k]
             if head.up:
                 head.kill()
-                self.engine.after(down, head.start, self.policy)
+                self.engine.after(down, self._start_head, head)
--- /dev/null
+++ b/tests/test_model_staged.py
@@ -0,0 +1,122 @@
+"""Roll-outs on the model with real modules: equal, raising, repeating, worse, worse only under a surge."""
+from __future__ import annotations
+
+from dataclasses import replace
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from fawnspool import interface as i
+from fawnspool.config.schema import load
+from fawnspool.control import Controller
+from fawnspool.days.day import Day, TroubleBlock, check
+from fawnspool.model.staged import Staged, Trial, facts, show, spread_of
+from fawnspool.model.world import World
+from fawnspool.rollout.decide import Verdict
+from fawnspool.rollout.plan import Bound
+
+ROOT = Path(__file__).parent.parent
+BOUND = Bound(loss=0.1, spend=0.05, window=2.0, windows=(4, 20), unseen=0.5, surge_windows=2)
+SPREAD = 0.043          # of this day's heads, as test_the_spread_is_near_what_the_tests_use sees
+
+
+def day(length: float = 40.0, *troubles: TroubleBlock) -> Day:
+    one = load(ROOT / "days/lead-moves.hcl", Day, check)
+    return replace(one, trouble=troubles, day=replace(one.day, heads=6, nodes=6, length=length),
+                   load=replace(one.load, rate=80))
+
+
+class Refuses(Controller):
+    """Turns every third extent away, of a head in a surge only or always."""
+
+    always = True
+
+    def __init__(self, settings: i.Settings, seed: int) -> None:
+        super().__init__(settings, seed)
+        self.recent: list[float] = []
+
+    def handle(self, now: float, event: Any) -> list[Any]:
+        if isinstance(event, i.Request):
+            self.recent = [t for t in self.recent if t > now - 1] + [now]
+            if event.extent % 3 and (self.always or len(self.recent) > 30):
+                return [i.Refuse(event.id, 0.2)]
+        return super().handle(now, event)
+
+
+class RefusesInSurge(Refuses):
+    always = False
+
+
+class Raises(Controller):
+    def handle(self, now: float, event: Any) -> list[Any]:
+        if isinstance(event, i.Request) and event.extent % 40 == 0:
+            raise ValueError("a new mistake")
+        return super().handle(now, event)
+
+
+class Twice(Controller):
+    """Sends every unsafe write a second time."""
+
+    def handle(self, now: float, event: Any) -> list[Any]:
+        out = list(super().handle(now, event))
+        for action in list(out):
+            if isinstance(action, i.Send):
+                out.append(action)
+        return out
+
+
+def trial(new: Any, one: Day | None = None, seed: int = 2, bound: Bound = BOUND) -> Trial:
+    return Staged(one or day(), seed, Controller, new, bound, SPREAD).play()
+
+
+def test_the_spread_is_near_what_the_tests_use() -> None:
+    assert 0.5 * SPREAD < spread_of(day(), 1, Controller, BOUND) < 2 * SPREAD
+
+
+def test_facts_name_each_heads_volumes() -> None:
+    world = World(day(4.0), 1, Controller)
+    of = facts(world)
+    assert [f.number for f in of] == list(range(6))
+    for f in of:
+        for volume, heads in f.volumes:
+            assert heads == 2 and sum(any(v == volume for v, _ in x.volumes) for x in of) == 2
+
+
+def test_a_version_that_raises_is_back_after_its_first_window() -> None:
+    came = trial(Raises)
+    assert came.verdict is Verdict.GO_BACK and "raised" in came.why
+    assert came.upgraded <= 3 and any("back: heads" in line for line in show(came))
+
+
+def test_a_version_that_breaks_a_rule_is_back_though_it_serves_well() -> None:
+    came = trial(Twice)
+    assert came.verdict is Verdict.GO_BACK and "broke a rule" in came.why and came.upgraded <= 3
+    assert came.broken
+
+
+def test_a_version_that_is_worse_is_back_before_all_have_it() -> None:
+    came = trial(Refuses, day(60.0))
+    assert came.verdict is Verdict.GO_BACK and came.upgraded <= 3 and came.broken == ()
+    assert "worse" in came.why or "lost" in came.why or "not shown" in came.why
+
+
+def test_an_equal_version_goes_on_past_the_first_batch() -> None:
+    came = trial(Controller, day(80.0))
+    assert came.verdict is not Verdict.GO_BACK and came.upgraded == 6 and came.broken == ()
+    assert came.most_at_once == 1 and came.share > 0.9
+
+
+def test_a_version_worse_only_under_a_surge_is_found_when_one_comes() -> None:
+    surge = TroubleBlock("surge", "burst", 30.0, 24.0, size=2.5)
+    came = trial(RefusesInSurge, day(70.0, surge))
+    assert came.verdict is Verdict.GO_BACK and came.upgraded <= 3, came
+
+
+def test_the_same_seed_plays_the_same_trial() -> None:
+    assert trial(Raises) == trial(Raises)
+
+
+def test_a_day_too_short_for_a_spread_says_so() -> None:
+    with pytest.raises(ValueError, match="too short"):
+        spread_of(day(1.0), 1, Controller, BOUND)
