--- a/benchmarks/head_cost.py
+++ b/benchmarks/head_cost.py
@@ -199,8 +199,9 @@
 
 def bodies(setup: Setup) -> None:
     print("\n| arm | 1 GiB PUT MB/s | GET MB/s | growth MiB |\n| --- | --- | --- | --- |")
-    for arm in ("pass", "module"):
+    for arm in ("pass", "module", "module", "pass"):     # each is first and second once
         port, pid = setup.heads[arm]
+        os.sync()           # what an arm wrote is on the disk before the next begins
         row = big(port, pid)
         print(f"| {arm} | {row['put_mb_s']:.0f} | {row['get_mb_s']:.0f} | {row['growth_mib']:.0f} |", flush=True)
 
--- a/fawnspool/cli/drill.py
+++ b/fawnspool/cli/drill.py
@@ -12,6 +12,7 @@
 import click
 
 from fawnspool.cli.common import BROKEN, EXIT_CODES, UNREACHED, config_error, fail, print_json, table
+from fawnspool.config.render import render
 from fawnspool.config.schema import ConfigError, load
 from fawnspool.days.day import Day, check
 
@@ -90,7 +91,7 @@
             fail(f"the day could not be played: {bad}", UNREACHED)
         said = values(day, number, result, other)
     if out:
-        (Path(out) / "day.hcl").write_bytes(path.read_bytes())
+        (Path(out) / "day.hcl").write_text(render(day))
         (Path(out) / "result.json").write_text(json.dumps(said, indent=2))
     if as_json:
         print_json(said)
--- a/fawnspool/config/schema.py
+++ b/fawnspool/config/schema.py
@@ -21,7 +21,8 @@
 from hcl2.rules.base import AttributeRule, BlockRule
 
 T = TypeVar("T")
-_UNITS = {"us": 1e-6, "ms": 1e-3, "s": 1.0, "m": 60.0, "h": 3600.0}
+_UNITS = {"us": 1.0, "ms": 1.0, "s": 1.0, "m": 60.0, "h": 3600.0}
+_PARTS = {"us": 1e6, "ms": 1e3}      # divided by, as 400 * 1e-6 is not 0.0004 to the last digit
 _SIZES = {"": 1, "B": 1, "KiB": 1 << 10, "MiB": 1 << 20, "GiB": 1 << 30}
 _OPTIONS = SerializationOptions(strip_string_quotes=True)
 
@@ -71,23 +72,63 @@
 
 
 def load(path: str | Path, kind: type[T], check: Callable[[T, Reader], None] | None = None) -> T:
-    """Read the file at `path` into `kind`. Raises ConfigError with every problem found."""
+    """Read the file at `path` into `kind`. `base = "other.hcl"` at its top names a file beside it whose settings hold
+    where this one says nothing: blocks of the same name and label are merged, others added. Raises ConfigError with
+    every problem found."""
+    return _make(_based(Path(path), ()), str(path), kind, check)
+
+
+def parse(text: str, file: str, kind: type[T], check: Callable[[T, Reader], None] | None = None) -> T:
+    """Like `load`, from text that stands alone; `file` is only the name used in errors."""
+    return _make(_raw(text, file), file, kind, check)
+
+
+def _based(path: Path, above: tuple[Path, ...]) -> _Body:
+    """A file's content over that of its base."""
     try:
-        text = Path(path).read_text(encoding="utf-8")
+        text = path.read_text(encoding="utf-8")
     except (OSError, UnicodeDecodeError) as bad:
-        raise ConfigError([Problem(str(path), 0, "", f"can't be read: {bad}")]) from None
-    return parse(text, str(path), kind, check)
+        raise ConfigError([Problem(str(above[-1] if above else path), 0, "base" if above else "",
+                                   f"{path} can't be read: {bad}" if above else f"can't be read: {bad}")]) from None
+    raw = _raw(text, str(path))
+    names = [(line, value) for name, line, value in raw.settings if name == "base"]
+    if not names:
+        return raw
+    line, name = names[0]
+    name = str(name).strip('"')
+    if path.resolve() in above or len(names) > 1:
+        why = "stands twice" if len(names) > 1 else f"goes round in a circle through {name}"
+        raise ConfigError([Problem(str(path), line, "base", why)])
+    raw.settings = [row for row in raw.settings if row[0] != "base"]
+    return _over(_based(path.parent / name, (*above, path.resolve())), raw)
+
+
+def _over(base: _Body, own: _Body) -> _Body:
+    """`own` laid over `base`: its settings win, blocks of one name and label are merged."""
+    mine = {name for name, _, _ in own.settings}
+    out = _Body(own.line, [row for row in base.settings if row[0] not in mine] + own.settings, [])
+    left = list(own.blocks)
+    for name, labels, body in base.blocks:
+        same = [row for row in left if row[:2] == (name, labels)]
+        for row in same:
+            left.remove(row)
+            body = _over(body, row[2])
+        out.blocks.append((name, labels, body))
+    out.blocks += left
+    return out
 
 
-def parse(text: str, file: str, kind: type[T], check: Callable[[T, Reader], None] | None = None) -> T:
-    """Like `load`, from text; `file` is only the name used in errors."""
+def _raw(text: str, file: str) -> _Body:
     try:
-        raw = _body(hcl2.parses(text + "\n").body, 1)
+        return _body(hcl2.parses(text + "\n").body, _Place(1, file))
     except Exception as bad:  # the library's parser raises kinds of its own
         line = getattr(bad, "line", 0)
         first = str(bad).strip().splitlines()[0] if str(bad).strip() else type(bad).__name__
         raise ConfigError([Problem(file, line if isinstance(line, int) and line > 0 else 0, "",
                                    f"is not HCL: {first}")]) from None
+
+
+def _make(raw: _Body, file: str, kind: type[T], check: Callable[[T, Reader], None] | None) -> T:
     reader = Reader(file)
     value = reader.block(raw, kind, "")
     if check is not None and not reader.problems:
@@ -101,12 +142,12 @@
 class _Body:
     """A block's content with the lines it stands in: (name, line, value) and (name, label, body)."""
 
-    line: int
-    settings: list[tuple[str, int, Any]]
+    line: _Place
+    settings: list[tuple[str, _Place, Any]]
     blocks: list[tuple[str, list[str], _Body]]
 
 
-def _body(rule: Any, line: int) -> _Body:
+def _body(rule: Any, line: _Place) -> _Body:
     out = _Body(line, [], [])
     for child in rule.children:
         if isinstance(child, AttributeRule):
@@ -118,9 +159,20 @@
     return out
 
 
-def _line(rule: Any, line: int) -> int:
+def _line(rule: Any, line: _Place) -> _Place:
     found = getattr(rule._meta, "line", line)   # the library keeps the place here only
-    return found if isinstance(found, int) else line
+    return _Place(found, line.file) if isinstance(found, int) else line
+
+
+class _Place(int):
+    """A line that knows its file, as a document can be made of several."""
+
+    file: str
+
+    def __new__(cls, line: int, file: str) -> _Place:
+        made = super().__new__(cls, line)
+        made.file = file
+        return made
 
 
 class Reader:
@@ -132,7 +184,7 @@
     def wrong(self, where: object, field_name: str, text: str) -> None:
         """Note a problem at a block read earlier (or at a line)."""
         line = where if isinstance(where, int) else self.lines.get(id(where), 0)
-        self.problems.append(Problem(self.file, line, field_name, text))
+        self.problems.append(Problem(getattr(line, "file", self.file), line, field_name, text))
 
     def block(self, raw: _Body, kind: type[Any], path: str, label: str = "") -> Any:
         hints = typing.get_type_hints(kind)
@@ -220,7 +272,7 @@
             found = re.fullmatch(r"(\d+(?:\.\d+)?)(us|ms|s|m|h)", value) if isinstance(value, str) else None
             if found is None:
                 return self._bad(at, line, value, 'a time such as "250ms" or "2s"')
-            value = float(found[1]) * _UNITS[found[2]]
+            value = float(found[1]) * _UNITS[found[2]] / _PARTS.get(found[2], 1.0)
         elif kind == "size":
             found = re.fullmatch(r"(\d+)(B|KiB|MiB|GiB|)", str(value))
             if found is None or isinstance(value, bool):
--- a/fawnspool/model/compare.py
+++ b/fawnspool/model/compare.py
@@ -19,6 +19,7 @@
 from fawnspool.days.worth import count
 from fawnspool.model.params import Params
 from fawnspool.model.stats import Interval, holm, looks, paired
+from fawnspool.model.traffic import Described, draw
 from fawnspool.model.versions import load
 from fawnspool.model.world import World
 from fawnspool.rules.judge import judge
@@ -40,6 +41,7 @@
     changes: tuple[str, ...] = ()
     constants: tuple[tuple[str, float], ...] = ()
     seed_shift: int = 0          # of the heads' own random numbers: two equal arms that still differ
+    luck: int = 0                # another draw of all that the day and its seed do not say
 
 
 @dataclass(frozen=True)
@@ -90,16 +92,17 @@
     return dataclasses.replace(node, **{name: new})
 
 
-def play(day: Day, arm: Arm, seed: int, params: Params) -> RunFigures:
-    """One run of one arm."""
+def play(day: Day, arm: Arm, seed: int, params: Params, traffic: Described | None = None) -> RunFigures:
+    """One run of one arm; with `traffic` clients ask what is drawn from it instead of the day's own script."""
     for text in arm.changes:
         day = change(day, text)
     policy, _ = load(arm.version, dict(arm.constants))
 
     def shifted(settings: Any, number: int) -> Any:
-        return policy(settings, number + 1_000_003 * arm.seed_shift)
+        return policy(settings, number + 1_000_003 * (arm.seed_shift + 7919 * arm.luck))
 
-    world = World(day, seed, shifted, params)
+    ops = draw(traffic, day, seed) if traffic is not None else None
+    world = World(day, seed, shifted, params, ops, luck=arm.luck)
     service = count(day, world.run())
     verdict = judge(read(world.rows), terms_of(day))
     figures = {MAIN: service.whole.share,
@@ -130,7 +133,7 @@
     why: str = ""
 
 
-Job = tuple[Day, Arm, int, Params]
+Job = tuple[Day, Arm, int, Params, Described | None]
 Runner = Callable[[Iterable[Job]], Iterator[RunFigures]]
 
 
@@ -151,7 +154,8 @@
 
 
 def compare(name: str, day: Day, a: Arm, b: Arm, runs: int, run: Runner, *, narrow: float = 0.005, level: float = 0.95,
-            first_seed: int = 1, params: Callable[[int], Params] = lambda seed: Params()) -> DayComparison:
+            first_seed: int = 1, params: Callable[[int], Params] = lambda seed: Params(),
+            traffic: Described | None = None) -> DayComparison:
     """Paired runs of `day` until the difference of worth can be told, its interval is narrower than `narrow` either
     way, or `runs` are spent. params(seed): the model's parameters of that run, the same for both arms."""
     out = DayComparison(name)
@@ -159,7 +163,7 @@
     alpha = (1 - level) / len(at)
     for upto in at:
         seeds = range(first_seed + out.runs, first_seed + upto)
-        jobs = [(day, arm, seed, params(seed)) for seed in seeds for arm in (a, b)]
+        jobs: list[Job] = [(day, arm, seed, params(seed), traffic) for seed in seeds for arm in (a, b)]
         results = list(run(jobs))
         out.seeds += seeds
         out.a += results[::2]
--- a/fawnspool/model/fit.py
+++ b/fawnspool/model/fit.py
@@ -43,6 +43,7 @@
     kinds: tuple[str, ...] = ()
     rate: float = 0.0            # requests a second and node, at most
     runs: int = 0
+    misfit: float = 0.0          # of worth: what the model missed on these runs beyond luck, a standard deviation
 
     def params(self) -> Params:
         """The estimates themselves."""
--- a/fawnspool/model/stats.py
+++ b/fawnspool/model/stats.py
@@ -36,7 +36,7 @@
     n = len(differences)
     mean = float(np.mean(differences)) if n else 0.0
     if n < 2:
-        return Interval(mean, -np.inf, np.inf, level, 1.0, n)
+        return Interval(mean, -float("inf"), float("inf"), level, 1.0, n)
     error = float(np.std(differences, ddof=1)) / np.sqrt(n)
     if error < 1e-12:       # equal in every run: there is nothing to tell, or no doubt
         return Interval(mean, mean, mean, level, 1.0 if abs(mean) < 1e-12 else 0.0, n)
@@ -46,18 +46,18 @@
     # A resample of few distinct values can have hardly any spread: a floor keeps its t from running away.
     t = np.sort((np.mean(drawn, axis=1) - mean) / np.maximum(errors, error / 4))
     tail = (1 - level) / 2
-    student = _student(n - 1)
-    far = float(np.quantile(student, 1 - tail))
+    usual = student(n - 1)
+    far = float(np.quantile(usual, 1 - tail))
     low = mean - max(float(np.quantile(t, 1 - tail)), far) * error
     high = mean - min(float(np.quantile(t, tail)), -far) * error
     side = float(np.mean(t >= mean / error) if mean > 0 else np.mean(t <= mean / error))
-    p = min(1.0, 2 * max(side, float(np.mean(student >= abs(mean) / error)), 1 / DRAWS))
-    return Interval(mean, low, high, level, p, n)
+    p = min(1.0, 2 * max(side, float(np.mean(usual >= abs(mean) / error)), 1 / DRAWS))
+    return Interval(mean, float(low), float(high), level, float(p), n)
 
 
 @cache
-def _student(freedom: int) -> Floats:
-    """Draws of Student's t, sorted: of few runs the bootstrap alone tells too much, so the wider of both counts."""
+def student(freedom: int) -> Floats:
+    """Draws of Student's t, sorted. Of few runs the bootstrap alone tells too much, so the wider of both counts."""
     return np.sort(np.random.default_rng(freedom).standard_t(freedom, 100_000))
 
 
--- a/fawnspool/model/traffic.py
+++ b/fawnspool/model/traffic.py
@@ -242,8 +242,8 @@
         blocks.append(replace(block, name=name, count=max(1, round(shape.volumes * rate / d.rate)), heads=shape.heads,
                               nodes=min(block.nodes, nodes)))
     return replace(day, day=replace(day.day, heads=heads, nodes=nodes, length=length), volumes=tuple(blocks),
-                   load=replace(day.load, rate=rate, retries=min(5, d.retries), backoff=d.backoff, skew=d.skew,
-                                lead_every=min(d.lead_every, 1e6)))
+                   load=replace(day.load, rate=rate, retries=min(5, d.retries), backoff=round(d.backoff, 6),
+                                skew=d.skew, lead_every=round(min(d.lead_every, 1e6), 6)))
 
 
 def stream(seed: int, *purpose: str | int) -> np.random.Generator:
--- a/fawnspool/model/world.py
+++ b/fawnspool/model/world.py
@@ -86,7 +86,7 @@
         self.world, self.number, self.cell, self.life, self.up = world, number, cell, 0, False
         self.faults: dict[str, Any] = dict(CALM)
         self.phase, self.started = "ready", -1.0
-        self.random = Random(f"{world.seed}-node-{number}")
+        self.random = Random(f"{world.own}-node-{number}")
         self.start(cold)
 
     def start(self, cold: bool) -> None:
@@ -452,10 +452,12 @@
     """One day, once. `run` gives the records and what came of each operation."""
 
     def __init__(self, day: Day, seed: int, policy: Policy, params: Params | None = None,
-                 ops: list[Op] | None = None) -> None:
+                 ops: list[Op] | None = None, luck: int = 0) -> None:
         self.day, self.seed, self.params = day, seed, params or Params()
         self.engine = Engine(_START)
-        self.net, self.retries = Random(f"{seed}-net"), Random(f"{seed}-clients")
+        # The day and its seed say who asks what and who is hit; `luck` draws the rest anew.
+        self.own = f"{seed}-{luck}" if luck else f"{seed}"
+        self.net, self.retries = Random(f"{self.own}-net"), Random(f"{self.own}-clients")
         self.rows: list[dict[str, Any]] = []
         self.errors: list[str] = []
         self.raised: dict[int, int] = {}
