Keep the recordings of a head's earlier lives

A restart wrote over the recording that its operator wanted to look at. An earlier life's file is renamed with a number, the latest sixteen stay; a test restarts twenty times.

--- a/fawnspool/records/module.py
+++ b/fawnspool/records/module.py
@@ -93,6 +93,25 @@
     return hashlib.sha256(Path(source or "").read_bytes()).hexdigest()[:16] if source else ""
 
 
+KEPT = 16               # earlier lives beside a recording
+
+
+def make_way(path: str | Path, kept: int = KEPT) -> None:
+    """Rename an earlier life's recording to NAME.1, NAME.2 ... (before the ending; the highest is the latest), so that
+    a restart loses none; the oldest beyond `kept` go."""
+    path = Path(path)
+    if not path.exists() or not path.stat().st_size:
+        return
+    lives: dict[int, Path] = {}
+    for other in path.parent.glob(f"{path.stem}.*{path.suffix}"):
+        number = other.name[len(path.stem) + 1:len(other.name) - len(path.suffix)]
+        if number.isdigit():
+            lives[int(number)] = other
+    path.rename(path.with_name(f"{path.stem}.{max(lives, default=0) + 1}{path.suffix}"))
+    for number in sorted(lives)[:max(0, len(lives) + 1 - kept)]:
+        lives[number].unlink()
+
+
 class Recorder:
     """Writes a module's life to a file, in batches. With `behind` another thread does the writing. A recording that
     can't be written on (a full disk, a disk too slow) stops where it is, which `stopped` tells: what it holds up to
@@ -100,6 +119,7 @@
 
     def __init__(self, path: str | Path, policy_name: str, settings: i.Settings, seed: int, module: str,
                  behind: Behind | None = None) -> None:
+        make_way(path)
         self.writer, self.behind = Writer(path), behind
         self.stopped = ""
         self.writer.put({"form": FORM, "version": VERSION, "policy": policy_name, "seed": seed,
--- a/tests/test_records.py
+++ b/tests/test_records.py
@@ -146,3 +146,16 @@
         read_event([99])
     with pytest.raises(RecordingError, match="fields"):
         read_event([0, 1])
+
+
+def test_an_earlier_lifes_recording_is_kept_beside_up_to_a_number(tmp_path: Path) -> None:
+    for k in range(20):
+        recorder = Recorder(tmp_path / "h.mrec", "module", make_settings(), k, "")
+        recorder.note(float(k), i.Timer(k), [])
+        recorder.close()
+    names = sorted(p.name for p in tmp_path.glob("*.mrec"))
+    assert len(names) == 17 and "h.mrec" in names and "h.19.mrec" in names and "h.3.mrec" not in names
+    assert [open_recording(tmp_path / n).seed for n in ("h.mrec", "h.19.mrec", "h.4.mrec")] == [19, 18, 3]
+    (tmp_path / "h.notes.mrec").write_bytes(b"mine")
+    Recorder(tmp_path / "h.mrec", "module", make_settings(), 20, "").close()
+    assert (tmp_path / "h.notes.mrec").read_bytes() == b"mine"
