--- a/fawnspool/records/module.py
+++ b/fawnspool/records/module.py
@@ -108,8 +108,8 @@
         if number.isdigit():
             lives[int(number)] = other
     path.rename(path.with_name(f"{path.stem}.{max(lives, default=0) + 1}{path.suffix}"))
-    for number in sorted(lives)[:max(0, len(lives) + 1 - kept)]:
-        lives[number].unlink()
+    for old in sorted(lives)[:max(0, len(lives) + 1 - kept)]:
+        lives[old].unlink()
 
 
 class Recorder:
