--- a/tests/e2e/test_processes.py
+++ b/tests/e2e/test_processes.py
@@ -10,11 +10,16 @@
 import time
 import urllib.request
 from collections.abc import Iterator
+from dataclasses import replace
 from pathlib import Path
 from typing import Any
 
 import pytest
 
+from fawnspool.config.render import render
+from fawnspool.config.schema import load
+from fawnspool.days.day import Day, check
+
 ROOT = Path(__file__).parent.parent.parent
 CLI = [sys.executable, "-m", "fawnspool.cli"]
 
@@ -73,10 +78,9 @@
 
 def drill(tmp_path: Path, day: str, troubles: str, length: int = 5) -> dict[str, Any]:
     """Play a short day made from a kept one; its result."""
-    text = (ROOT / f"days/{day}.hcl").read_text()
-    text = re.sub(r'length = "\d+s"\n  heads', f'length = "{length}s"\n  heads', text)
-    text = text[:text.index("\ntrouble ")] + troubles
-    (tmp_path / "short.hcl").write_text(text)
+    kept = load(ROOT / f"days/{day}.hcl", Day, check)
+    text = render(replace(kept, day=replace(kept.day, length=float(length)), trouble=()))
+    (tmp_path / "short.hcl").write_text(text + troubles)
     got = subprocess.run([*CLI, "drill", "run", str(tmp_path / "short.hcl"), "--no-plain", "--json", "--quiet", "--out",
                           str(tmp_path / "out")], capture_output=True, text=True, timeout=120, cwd=ROOT, check=False)
     assert got.stdout, got.stderr
