--- a/fawnspool/model/fit.py
+++ b/fawnspool/model/fit.py
@@ -5,6 +5,7 @@
 
     node      out - in of a read at an idle node = node_cost + units x unit_time x unit_scale
     up        in - ask of an op whose place was known = client_net + 1.5 head_cost + node_net + bytes
+    starts    up - killed - the time away that the day names; nodes of one trouble start one after another
     down      got - out                               = node_net + 0.5 head_cost + client_net + bytes
 """
 from __future__ import annotations
@@ -12,6 +13,7 @@
 from collections import defaultdict
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field, replace
+from itertools import pairwise
 from typing import Any
 
 import numpy as np
@@ -82,6 +84,7 @@
         out.rate = max(out.rate, len({a["op"] for a in story.asks}) / day.day.length / day.day.nodes)
         _services(day, story, work)
         _hops(day, story, samples)
+        _starts(day, story, samples)
     out.classes, out.kinds = tuple(sorted(classes)), tuple(sorted(kinds))
     _work(work, out)
     up, down = _middle(samples["up"]), _middle(samples["down"])
@@ -96,6 +99,12 @@
     out.parts["jitter"] = Part(float(max(1e-5, np.mean(np.abs(tail)) / 2)), error, len(tail))
     if seen < LEAST:
         out.poor.append("network and head")
+    for name, value in (("node_start", Params().node_start), ("head_start", Params().head_start)):
+        some = samples[name]
+        out.parts[name] = Part(float(np.mean(some)), float(np.std(some, ddof=1) / len(some) ** 0.5), len(some)) \
+            if len(some) > 1 else Part(value, value / 3, len(some))
+        if len(some) <= 1 and {"node_start": "crash", "head_start": "head_roll"}[name] in out.kinds:
+            out.poor.append(f"{name} (too few restarts)")
     return out
 
 
@@ -108,6 +117,24 @@
     return min((a["t"] for a in story.asks), default=story.first)
 
 
+def _starts(day: Day, story: Story, samples: dict[str, list[float]]) -> None:
+    """How long processes take to come up, beyond the time that a day keeps them away."""
+    start = _start(story)
+    for x in day.trouble:
+        if x.kind == "crash":
+            before = start + x.at + x.down
+            for row in story.ups:
+                if row["cold"] and before < row["t"] < start + x.at + x.down + 5:
+                    samples["node_start"].append(row["t"] - before)
+                    before = row["t"]
+    away = {x.down for x in day.trouble if x.kind in ("head_roll", "head_kill")}
+    if len(away) == 1:
+        for rows in story.lives.values():
+            for a, b in pairwise(rows):
+                if a["what"] == "killed" and b["what"] == "up":
+                    samples["head_start"].append(max(0.0, b["t"] - a["t"] - min(away)))
+
+
 def _services(day: Day, story: Story, work: list[tuple[float, float]]) -> None:
     """Reads at idle warm nodes: (named work in seconds, time taken)."""
     start = _start(story)
--- a/fawnspool/model/params.py
+++ b/fawnspool/model/params.py
@@ -20,3 +20,5 @@
     list_net: float = 0.001          # from the list service to a head
     cancel_seen: float = 0.01        # until a node sees that its sender has gone
     drop_seen: float = 0.025         # until a node drops what is overdue
+    node_start: float = 0.6          # until a started node's process listens; nodes of one trouble start in turn
+    head_start: float = 1.4          # the same of a head's
--- a/fawnspool/model/staged.py
+++ b/fawnspool/model/staged.py
@@ -76,7 +76,8 @@
 
 
 class Staged:
-    """One roll-out over one day. down: how long a head's restart takes; settle: after a round, before the next."""
+    """One roll-out over one day. down: how long a head is away before its process starts; settle: after a round,
+    before the next."""
 
     def __init__(self, day: Day, seed: int, old: Policy, new: Policy, bound: Bound, spread: float, *,
                  params: Params | None = None, down: float = 0.5, settle: float = 1.0) -> None:
@@ -84,7 +85,7 @@
         self.world = World(day, seed, old, params)
         self.facts = {f.number: f for f in facts(self.world)}
         self.rollout = Rollout(plan(list(self.facts.values()), bound, spread, seed), bound, spread)
-        self.down, self.settle = down, settle
+        self.down, self.settle = down + self.world.params.head_start, settle
         self.restarts: list[tuple[float, int]] = []         # when a head went away
         self.usual: list[float] = []
         self.raised: dict[int, int] = {}
--- a/fawnspool/model/world.py
+++ b/fawnspool/model/world.py
@@ -767,7 +767,8 @@
         elif x.kind in ("head_kill", "head_roll"):
             rounds = [heads] if x.kind == "head_kill" else batches(self.day, x)
             for k, some in enumerate(rounds):
-                after(k * max(x.length / len(rounds), x.down), self.restart, some, x.down)
+                away = x.down + self.params.head_start
+                after(k * max(x.length / len(rounds), away), self.restart, some, away)
         elif x.kind == "head_stall":
             for k in heads:
                 for at in stall_times(self.day, self.seed, x, k):
@@ -802,11 +803,11 @@
 
     def _crash(self, x: TroubleBlock, nodes: list[_Node]) -> None:
         listed = x.kind != "unlisted_restart"
-        for node in nodes:
+        for k, node in enumerate(nodes):
             self._kill(node)
             if listed:
                 self.engine.after(min(self.day.day.notice, x.down), self.change, node, "gone")
-            self.engine.after(x.down, self._up_again, node, listed)
+            self.engine.after(x.down + (k + 1) * self.params.node_start, self._up_again, node, listed)
 
     def _up_again(self, node: _Node, listed: bool) -> None:
         node.start(True)
@@ -815,12 +816,12 @@
             self.change(node, "ready")
 
     def _preempt(self, x: TroubleBlock, cells: list[int]) -> None:
-        for cell in cells:
+        for k, cell in enumerate(cells):
             node = self.cells[cell]
             self.change(node, "draining")
             self.engine.after(x.size, self._kill, node)
             self.engine.after(x.size + min(self.day.day.notice, x.down), self.change, node, "gone")
-            self.engine.after(x.size + x.down, self._replace, cell)
+            self.engine.after(x.size + x.down + (k + 1) * self.params.node_start, self._replace, cell)
 
     def _replace(self, cell: int) -> None:
         self.numbers += 1
