Judge a head by when the list began to tell it that a node is ready

The list now notes when the first byte may have left, and a node counts as ready from then; for every other phase the last byte counts, as before. A doctored record is still caught.

--- a/fawnspool/drill/play.py
+++ b/fawnspool/drill/play.py
@@ -186,10 +186,10 @@
         return Entry(cell.node, f"127.0.0.1:{cell.process.port}", cell.zone, cell.cell, phase,
                      size=float(self.day.fleet.cores), started=started)
 
-    def _told(self, head: int, phase: str, node: int) -> None:
+    def _told(self, head: int, phase: str, node: int, began: float) -> None:
         entry = self.list.entries.get(node)
         age = -1.0 if entry is None or entry.started < 0 else time.monotonic() - entry.started
-        self.note("told", head=head, node=node, phase=phase, age=age)
+        self.note("told", head=head, node=node, phase=phase, age=age, began=began)
 
     def _start_clients(self) -> None:
         spec = self.folder / "clients.json"
--- a/fawnspool/rules/judge.py
+++ b/fawnspool/rules/judge.py
@@ -163,7 +163,9 @@
     story = j.story
     told: dict[tuple[int, int], list[tuple[float, str]]] = defaultdict(list)
     for row in story.tolds:
-        told[row["head"], row["node"]].append((story.moved(row["head"], row["t"]), row["phase"]))
+        # A head may act on "ready" from its first byte on; on anything else it need not before the last.
+        at = min(row["t"], row.get("began", row["t"])) if row["phase"] == "ready" else row["t"]
+        told[row["head"], row["node"]].append((story.moved(row["head"], at), row["phase"]))
     for row in story.ins:
         news = told.get((row["head"], row["node"]))
         if not news or all(phase == "ready" for _, phase in news):
--- a/fawnspool/standins/nodelist.py
+++ b/fawnspool/standins/nodelist.py
@@ -49,7 +49,7 @@
     """Holds the list; `change` is told at once to whoever watches, after `late` seconds."""
 
     def __init__(self, address: tuple[str, int], entries: list[Entry],
-                 told: Callable[[int, str, int], None] | None = None) -> None:
+                 told: Callable[[int, str, int, float], None] | None = None) -> None:
         self.entries = {e.node: e for e in entries}
         self.version, self.late, self.told = 1, 0.0, told
         self.changes: list[tuple[int, Entry]] = []
@@ -89,10 +89,11 @@
         for _, queue in list(self.watchers.values()):
             queue.put((self.version, [entry]))
 
-    def _tell(self, head: int, entries: list[Entry]) -> None:
+    def _tell(self, head: int, entries: list[Entry], began: float) -> None:
+        """What a head was told; its first byte may have left at `began` (monotonic)."""
         if self.told is not None:
             for entry in entries:
-                self.told(head, entry.phase, entry.node)
+                self.told(head, entry.phase, entry.node, began)
 
     def _handle(self, exchange: Exchange) -> None:
         path, _, query = exchange.head.target.decode("latin-1").partition("?")
@@ -101,10 +102,10 @@
         if path == "/ping":
             return exchange.respond(200, [], b"{}")
         if path == "/list":
-            rows = list(self.entries.values())
+            rows, began = list(self.entries.values()), time.monotonic()
             exchange.respond(200, [], json.dumps(
                 {"version": self.version, "entries": [e.row() for e in rows]}).encode())
-            return self._tell(head, rows)
+            return self._tell(head, rows, began)
         if path == "/watch":
             return self._watch(exchange, head, int(asked.get("from", 0)))
         raise BadMessage(404, "ask for /list or /watch")
@@ -132,8 +133,9 @@
 
     def _line(self, exchange: Exchange, kind: str, version: int, entries: list[Entry], head: int) -> None:
         line = json.dumps({"kind": kind, "version": version, "entries": [e.row() for e in entries]}).encode() + b"\n"
+        began = time.monotonic()
         exchange.write(b"%x\r\n%s\r\n" % (len(line), line), time.monotonic() + 5.0)
-        self._tell(head, entries)
+        self._tell(head, entries, began)
 
     def stop(self) -> None:
         self.gone()
--- a/tests/test_judge.py
+++ b/tests/test_judge.py
@@ -159,3 +159,13 @@
     wrong = {"k": "wrong", "t": 2.0, "op": "a", "n": 0, "head": 0, "key": "k", "size": 3}
     verdict = judge(read([*CLEAN, wrong]), TERMS)
     assert verdict.wrong_bytes == 1 and not verdict.kept
+
+
+@pytest.mark.parametrize(("began", "breaks"), [(6.9985, False), (7.0004, True), (None, True)])
+def test_a_head_may_act_on_ready_from_its_first_byte_on(began: float | None, breaks: bool) -> None:
+    """The list's own note of what it sent comes a little after a quick head's first request."""
+    back: dict[str, Any] = {"k": "told", "t": 7.0005, "head": 0, "node": 1, "phase": "ready", "age": 0.0}
+    if began is not None:
+        back["began"] = began
+    rows = [back, ask(6.9, "y"), came(6.9990, "y", 11), out(7.1, "y", 11), got(7.2, "y")]
+    assert broken(rows) == ({"drains kept"} if breaks else set())
