--- a/fawnspool/rules/story.py
+++ b/fawnspool/rules/story.py
@@ -13,8 +13,8 @@
     node    did   node head id n op e dropped        its effect was applied, or dropped as a repeat
     node    out   node head id n op s lost how       its answer left (s 503 with how "full": turned away unseen)
     node    fell  node                               it was pushed over
-    list    told  head node phase age [began]        the list has told a head; age: of the node, -1 long ago; began: when
-                                                     the first byte may have left, t: when the last had
+    list    told  head node phase age [began]        the list has told a head; age: of the node, -1 long ago;
+                                                     began: when the first byte may have left, t: when the last had
     drill   head  head what                          what is up, killed, or ended
     drill   stall head until                         the head stands still from t to `until`
     any     lag   who s                              how late a timer of this process rang
