Spare the model's heap what an idle core does at once

Timers, peers' datagrams and list news take none of a head's core, yet each went through the heap twice.

--- a/fawnspool/model/engine.py
+++ b/fawnspool/model/engine.py
@@ -19,7 +19,9 @@
         heappush(self.heap, (when if when > self.now else self.now, self.count, call, args))
 
     def after(self, delay: float, call: Callable[..., None], *args: Any) -> None:
-        self.at(self.now + delay, call, *args)
+        """Run `call(*args)` in `delay` seconds, not under 0."""
+        self.count += 1
+        heappush(self.heap, (self.now + delay, self.count, call, args))
 
     def run(self, until: float) -> None:
         """Until nothing is left, or what is left lies behind `until`."""
--- a/fawnspool/model/world.py
+++ b/fawnspool/model/world.py
@@ -213,6 +213,10 @@
         if self.stalled > w.engine.now:
             self.later.append((self.do, (cost, call, *args)))
             return
+        if not cost and self.busy <= w.engine.now:
+            if self.up:
+                call(*args)         # the core is idle and this takes none of it: no turn to wait for
+            return
         self.busy = max(self.busy, w.engine.now) + cost
         w.engine.at(self.busy, self._done, self.life, call, args)
 
