--- a/tests/test_model_fit.py
+++ b/tests/test_model_fit.py
@@ -74,3 +74,16 @@
     world = World(day, 1, Controller, TRUTH)
     world.run()
     assert fit([(day, world.rows)]).parts["unit_scale"].value == pytest.approx(TRUTH.unit_scale, rel=0.25)
+
+
+@pytest.mark.parametrize(("name", "part", "truth"), [("crash", "node_start", 0.9), ("head-kill", "head_start", 0.8)])
+def test_how_long_processes_take_to_start_is_found_again(name: str, part: str, truth: float) -> None:
+    """Days that kill, played with starts that take long; the fit is told only when who was up."""
+    day = load(DAYS / f"{name}.hcl", Day, check)
+    played: list[tuple[Day, list[Mapping[str, Any]]]] = []
+    for seed in (1, 2):
+        world = World(day, seed, Controller, replace(TRUTH, **{part: truth}))
+        world.run()
+        played.append((day, list(world.rows)))
+    got = fit(played).parts[part]
+    assert got.value == pytest.approx(truth, abs=0.05) and got.seen >= 1
