--- a/fawnspool/cli/model_predict.py
+++ b/fawnspool/cli/model_predict.py
@@ -91,9 +91,10 @@
 @command.command("describe")
 @click.argument("folders", metavar="FOLDER|FILE...", nargs=-1, required=True, type=click.Path(exists=True))
 @click.option("--out", required=True, type=click.Path(dir_okay=False), help="Keep the description here, as JSON.")
+@click.option("--replay", is_flag=True, help="Keep the requests themselves, to be asked again as they were.")
 @click.option("--same-clock", is_flag=True, help="One machine wrote all recordings since its last boot.")
 @click.option("--json", "as_json", is_flag=True, help="For programs.")
-def describe(folders: tuple[str, ...], out: str, same_clock: bool, as_json: bool) -> None:
+def describe(folders: tuple[str, ...], out: str, replay: bool, same_clock: bool, as_json: bool) -> None:
     """Describe the traffic of a folder that `drill run --out` left, or of heads' recordings (.mrec files)."""
     from fawnspool.model import seen as seeing
     from fawnspool.model.traffic import describe as describing
@@ -109,7 +110,7 @@
         got = describing(recorded)
     except (seeing.TrafficError, RecordingError, OSError) as bad:
         fail(str(bad))
-    Path(out).write_bytes(msgspec.json.format(msgspec.json.encode(got)))
+    Path(out).write_bytes(msgspec.json.format(msgspec.json.encode(recorded if replay else got)))
     if as_json:
         return print_json(msgspec.to_builtins(got))
     table(f"{len(recorded.asked)} requests of {got.length:.1f} s at {got.heads} heads", ["what", "value"], [
--- a/fawnspool/cli/model_run.py
+++ b/fawnspool/cli/model_run.py
@@ -122,17 +122,24 @@
 @click.option("--days", "folder", default="days", help="Folder of day files.")
 @click.option("--fit", "fit_file", type=click.Path(dir_okay=False), help="Parameters from `model fit`.")
 @click.option("--beyond", is_flag=True, help="Predict also what the fit has not seen.")
+@click.option("--traffic", "traffic_file", type=click.Path(dir_okay=False), help="Clients ask what `model describe` "
+              "wrote, not what the day's script says.")
 @click.option("--json", "as_json", is_flag=True, help="For programs.")
 def run(day_name: str, seed: int, version: str, changes: tuple[str, ...], folder: str, fit_file: str | None,
-        beyond: bool, as_json: bool) -> None:
+        beyond: bool, traffic_file: str | None, as_json: bool) -> None:
     """Play DAY once in simulated time. Exit code 1 where a rule broke."""
     from fawnspool.model.compare import Arm, ChangeError, play
+    from fawnspool.model.seen import TrafficError
+    from fawnspool.model.traffic import Described, scaled
     from fawnspool.model.versions import VersionError
     (name, day), *_ = _days(day_name, folder)
     params = _params(fit_file, [(name, day)], beyond)
     try:
-        came = play(day, Arm("run", version, changes), seed, params(seed))
-    except (ChangeError, VersionError) as bad:
+        traffic = traffic_of(traffic_file)
+        if isinstance(traffic, Described):
+            day = scaled(traffic, day, day.day.heads, day.day.nodes, traffic.rate, day.day.length)
+        came = play(day, Arm("run", version, changes), seed, params(seed), traffic)
+    except (ChangeError, VersionError, TrafficError) as bad:
         fail(str(bad))
     if as_json:
         print_json({"day": name, "seed": seed, "simulated": True, "figures": came.figures, "broken": came.broken,
@@ -162,10 +169,10 @@
 @click.option("--fit", "fit_file", type=click.Path(dir_okay=False), help="Parameters from `model fit`.")
 @click.option("--beyond", is_flag=True, help="Predict also what the fit has not seen.")
 @click.option("--traffic", "traffic_file", type=click.Path(dir_okay=False), help="Clients ask what `model describe` "
-              "described, not what the day's script says.")
-@click.option("--heads", type=click.IntRange(1), help="With --traffic: another size.")
-@click.option("--nodes", type=click.IntRange(1), help="With --traffic: another size.")
-@click.option("--rate", type=click.FloatRange(0.1), help="With --traffic: groups of requests a second.")
+              "wrote, not what the day's script says.")
+@click.option("--heads", type=click.IntRange(1), help="With a description of traffic: another size.")
+@click.option("--nodes", type=click.IntRange(1), help="With a description of traffic: another size.")
+@click.option("--rate", type=click.FloatRange(0.1), help="With a description: groups of requests a second.")
 @click.option("--keep", "store", is_flag=False, flag_value="comparisons", help="Keep the answer in this folder.")
 @click.option("--out", type=click.Path(dir_okay=False), help="Write the results here too, as JSON.")
 @click.option("--json", "as_json", is_flag=True, help="For programs.")
@@ -178,15 +185,16 @@
     Runs are paired: the same day, seed and draws for both. Exit code 1 where either breaks a rule."""
     from fawnspool.model import compare as comparing
     from fawnspool.model.seen import TrafficError
-    from fawnspool.model.traffic import scaled
+    from fawnspool.model.traffic import Described, scaled
     from fawnspool.model.versions import VersionError
     days = _days(names, folder)
     traffic = traffic_of(traffic_file)
-    if traffic is None and (heads or nodes or rate):
-        fail("--heads, --nodes and --rate go with --traffic; else change the day: --set-a day.heads=... and --set-b")
+    if not isinstance(traffic, Described) and (heads or nodes or rate):
+        fail("--heads, --nodes and --rate go with a description of traffic (--traffic); else change the day: "
+             "--set-a day.heads=... and --set-b")
     params = _params(fit_file, days, beyond)
     try:
-        if traffic is not None:
+        if isinstance(traffic, Described):
             days = [(name, scaled(traffic, day, heads or traffic.heads, nodes or traffic.nodes or day.day.nodes,
                                   rate or traffic.rate, day.day.length)) for name, day in days]
         arms = [comparing.Arm(name, version, changes, tuple(_constant(text) for text in constants))
@@ -218,16 +226,19 @@
 
 
 def traffic_of(path: str | None) -> Any:
-    """A description of traffic from a file; None for no file."""
+    """A description of traffic, or recorded traffic, from a file; None for no file."""
     import msgspec
 
+    from fawnspool.model.seen import Recorded
     from fawnspool.model.traffic import Described
     if path is None:
         return None
     try:
-        return msgspec.json.decode(Path(path).read_bytes(), type=Described)
-    except (OSError, msgspec.DecodeError) as bad:
-        fail(f"{path}: is no description of traffic: {bad}")
+        data = Path(path).read_bytes()
+        recorded = "asked" in msgspec.json.decode(data)
+        return msgspec.json.decode(data, type=Recorded if recorded else Described)
+    except (OSError, TypeError, msgspec.DecodeError) as bad:
+        fail(f"{path}: is no traffic of `model describe`: {bad}")
 
 
 def traffic_hash(traffic: Any) -> str:
--- a/fawnspool/cli/model_store.py
+++ b/fawnspool/cli/model_store.py
@@ -14,8 +14,8 @@
 from fawnspool.model import compare as comparing
 from fawnspool.model.fit import Fit
 from fawnspool.model.params import Params
+from fawnspool.model.seen import TrafficError
 from fawnspool.model.store import Kept, Store, StoreError, program_hash
-from fawnspool.model.traffic import Described
 
 _STORE = click.option("--store", "folder", default="comparisons", help="Folder of kept comparisons.")
 
@@ -80,7 +80,7 @@
 @_STORE
 def again(ident: str, workers: int, fit_file: str | None, traffic_file: str | None, folder: str) -> None:
     """Play a kept comparison again. Exit code 1 where the answer is another."""
-    from fawnspool.cli.model_run import traffic_hash
+    from fawnspool.cli.model_run import traffic_hash, traffic_of
     from fawnspool.model.predict import fit_hash
     from fawnspool.model.versions import VersionError
     from fawnspool.model.versions import load as version
@@ -91,7 +91,7 @@
     got = msgspec.json.decode(Path(fit_file).read_bytes(), type=Fit) if fit_file else None
     if fit_hash(got) != q.fit:
         fail(f"the comparison used the fit {q.fit}, not {fit_hash(got)}: give it with --fit")
-    traffic = msgspec.json.decode(Path(traffic_file).read_bytes(), type=Described) if traffic_file else None
+    traffic = traffic_of(traffic_file)
     if q.days and q.days[0].traffic != traffic_hash(traffic):
         fail(f"the comparison used the traffic {q.days[0].traffic or 'of the days'}: give it with --traffic")
     try:
@@ -102,7 +102,7 @@
         answers = [comparing.compare(name, day, q.a, q.b, q.runs, comparing.runner(workers), narrow=q.narrow,
                                      first_seed=q.seed, params=got.drawn if got else lambda seed: Params(),
                                      traffic=traffic) for name, day in days]
-    except (ConfigError, VersionError, comparing.ChangeError) as bad:
+    except (ConfigError, VersionError, TrafficError, comparing.ChangeError) as bad:
         fail(str(bad))
     same = Kept(q, answers).text() == kept.text()
     click.echo("the same answer, to the last digit" if same else "ANOTHER ANSWER")
--- a/fawnspool/model/compare.py
+++ b/fawnspool/model/compare.py
@@ -16,16 +16,19 @@
 
 from fawnspool.days.day import Day
 from fawnspool.days.terms import terms_of
+from fawnspool.days.traffic import Op
 from fawnspool.days.worth import count
 from fawnspool.model.params import Params
+from fawnspool.model.seen import Recorded
 from fawnspool.model.stats import Interval, holm, looks, paired
-from fawnspool.model.traffic import Described, draw
+from fawnspool.model.traffic import Described, draw, replayed
 from fawnspool.model.versions import load
 from fawnspool.model.world import World
 from fawnspool.rules.judge import judge
 from fawnspool.rules.story import read
 
 MAIN = "worth"
+Traffic = Described | Recorded | None        # drawn from a description, replayed, or (None) the day's own script
 
 
 class ChangeError(Exception):
@@ -92,8 +95,16 @@
     return dataclasses.replace(node, **{name: new})
 
 
-def play(day: Day, arm: Arm, seed: int, params: Params, traffic: Described | None = None) -> RunFigures:
-    """One run of one arm; with `traffic` clients ask what is drawn from it instead of the day's own script."""
+def asked(traffic: Traffic, day: Day, seed: int) -> tuple[Day, list[Op] | None]:
+    """The day and what is asked on it; None: its own script."""
+    if isinstance(traffic, Recorded):
+        return replayed(traffic, day)
+    return day, draw(traffic, day, seed) if traffic is not None else None
+
+
+def play(day: Day, arm: Arm, seed: int, params: Params, traffic: Traffic = None) -> RunFigures:
+    """One run of one arm; with `traffic` clients ask what is drawn from it, or was recorded, instead of the
+    day's own script."""
     for text in arm.changes:
         day = change(day, text)
     policy, _ = load(arm.version, dict(arm.constants))
@@ -101,7 +112,7 @@
     def shifted(settings: Any, number: int) -> Any:
         return policy(settings, number + 1_000_003 * (arm.seed_shift + 7919 * arm.luck))
 
-    ops = draw(traffic, day, seed) if traffic is not None else None
+    day, ops = asked(traffic, day, seed)
     world = World(day, seed, shifted, params, ops, luck=arm.luck)
     service = count(day, world.run())
     verdict = judge(read(world.rows), terms_of(day))
@@ -133,7 +144,7 @@
     why: str = ""
 
 
-Job = tuple[Day, Arm, int, Params, Described | None]
+Job = tuple[Day, Arm, int, Params, Traffic]
 Runner = Callable[[Iterable[Job]], Iterator[RunFigures]]
 
 
@@ -155,7 +166,7 @@
 
 def compare(name: str, day: Day, a: Arm, b: Arm, runs: int, run: Runner, *, narrow: float = 0.005, level: float = 0.95,
             first_seed: int = 1, params: Callable[[int], Params] = lambda seed: Params(),
-            traffic: Described | None = None) -> DayComparison:
+            traffic: Traffic = None) -> DayComparison:
     """Paired runs of `day` until the difference of worth can be told, its interval is narrower than `narrow` either
     way, or `runs` are spent. params(seed): the model's parameters of that run, the same for both arms."""
     out = DayComparison(name)
--- a/tests/test_model_kept.py
+++ b/tests/test_model_kept.py
@@ -225,6 +225,16 @@
     came = run("model", "compare", "--days", str(small(tmp_path)), "--runs", "2", "--traffic", str(traffic), "--heads",
                "5", "--rate", "40", "--json")
     assert came.exit_code == 0, came.output
+    replay, store = tmp_path / "r.json", str(tmp_path / "store")
+    assert run("model", "describe", str(folder), "--out", str(replay), "--replay").exit_code == 0
+    came = run("model", "run", str(small(tmp_path)), "--traffic", str(replay), "--json")
+    assert came.exit_code == 0 and 0.5 < json.loads(came.output)["figures"]["worth"] <= 1, came.output
+    came = run("model", "compare", "--days", str(small(tmp_path)), "--runs", "2", "--traffic", str(replay), "--keep",
+               store)
+    assert came.exit_code == 0, came.output
+    ident = next(Path(store).glob("*.json")).stem
+    assert "give it with --traffic" in run("model", "again", ident, "--store", store).output
+    assert run("model", "again", ident, "--store", store, "--traffic", str(replay)).exit_code == 0
     assert run("model", "compare", "--days", str(small(tmp_path)), "--heads", "5").exit_code == 2
     assert run("model", "describe", str(tmp_path / "small.hcl"), "--out", str(traffic)).exit_code == 2
 
