Fit service by class and node kind, cold ramps and pauses

The fit knew one scale for all service. It estimates a slow node's times, each class's, the start of a cold node's ramp and the length of pauses, with errors, says where too few reads tell them, and the model plays with them.

--- a/fawnspool/cli/model_run.py
+++ b/fawnspool/cli/model_run.py
@@ -61,7 +61,8 @@
     if as_json:
         return print_json(msgspec.to_builtins(got))
     table(f"Fit of {got.runs} runs", ["parameter", "value", "standard error", "seen"],
-          [[name, f"{p.value:.6g}", f"{p.error:.2g}", p.seen] for name, p in got.parts.items()])
+          [[name, f"{p.value:.6g}", f"{p.error:.2g}", p.seen] for name, p in
+          (*got.parts.items(), *((f"class {c}", p) for c, p in got.by_class.items()))])
     if missed:
         table("The same days on the model", ["folder", "measured", "model", "off", "luck"],
               [[Path(f).name, x, m, x - m, s] for f, (x, m, s, _) in zip(folders, missed, strict=True)])
--- a/fawnspool/model/fit.py
+++ b/fawnspool/model/fit.py
@@ -19,10 +19,13 @@
 import numpy as np
 
 from fawnspool.days.day import Day
+from fawnspool.model import service
 from fawnspool.model.params import Params
+from fawnspool.model.service import Sample
 from fawnspool.rules.story import Story, read
 
 LEAST = 40          # observations under which a part of the fit counts as poor
+_GONE = 2.0         # seconds after which an attempt without an answer no longer holds its node
 GROUPS = 10         # parts into which observations are dealt, to see how estimates vary
 
 
@@ -45,19 +48,22 @@
     kinds: tuple[str, ...] = ()
     rate: float = 0.0            # requests a second and node, at most
     runs: int = 0
+    by_class: dict[str, Part] = field(default_factory=dict)     # a class's time for a unit over all classes'
     misfit: float = 0.0          # of worth: what the model missed on these runs beyond luck, a standard deviation
 
     def params(self) -> Params:
         """The estimates themselves."""
-        return replace(Params(), **{name: p.value for name, p in self.parts.items()})
+        scales = tuple((name, p.value) for name, p in sorted(self.by_class.items()))
+        return replace(Params(), class_scale=scales, **{name: p.value for name, p in self.parts.items()})
 
     def drawn(self, seed: int) -> Params:
         """Parameters drawn within their uncertainty, one purpose's draws apart from another's."""
-        values = {}
-        for name, part in self.parts.items():
+        def draw(name: str, part: Part) -> float:
             rng = np.random.default_rng([seed, sum(name.encode())])
-            values[name] = max(0.0, part.value + part.error * float(rng.standard_normal()))
-        return replace(Params(), **values)
+            return max(0.0, part.value + part.error * float(rng.standard_normal()))
+
+        scales = tuple((name, draw(f"class {name}", p)) for name, p in sorted(self.by_class.items()))
+        return replace(Params(), class_scale=scales, **{name: draw(name, p) for name, p in self.parts.items()})
 
     def refuses(self, day: Day) -> list[str]:
         """What of a day lies outside what was seen; empty: nothing."""
@@ -72,7 +78,7 @@
 def fit(runs: Iterable[tuple[Day, Iterable[Mapping[str, Any]]]]) -> Fit:
     """Estimate from the records of played days."""
     samples: dict[str, list[float]] = defaultdict(list)
-    work: list[tuple[float, float]] = []        # of a service: the work that the day names, and how long it took
+    work: list[Sample] = []
     out = Fit({})
     classes: set[str] = set()
     kinds: set[str] = set()
@@ -82,11 +88,12 @@
         classes |= {c.name for c in day.class_}
         kinds |= set(day.kinds())
         out.rate = max(out.rate, len({a["op"] for a in story.asks}) / day.day.length / day.day.nodes)
-        _services(day, story, work)
+        _services(day, story, out.runs, work)
         _hops(day, story, samples)
         _starts(day, story, samples)
     out.classes, out.kinds = tuple(sorted(classes)), tuple(sorted(kinds))
     _work(work, out)
+    _nodes(work, out)
     up, down = _middle(samples["up"]), _middle(samples["down"])
     head = max(5e-5, up.value - down.value)
     spare = max(4e-5, (down.value - head / 2) / 2)
@@ -135,19 +142,25 @@
                     samples["head_start"].append(max(0.0, b["t"] - a["t"] - min(away)))
 
 
-def _services(day: Day, story: Story, work: list[tuple[float, float]]) -> None:
-    """Reads at idle warm nodes: (named work in seconds, time taken)."""
+def _services(day: Day, story: Story, run: int, work: list[Sample]) -> None:
+    """Reads that found their node idle. A node of one run is another than the same number's in the next."""
     start = _start(story)
-    cold = {u["node"] for u in story.ups if u["cold"]}
+    came: dict[int, list[float]] = defaultdict(list)
+    for up in story.ups:
+        if up["cold"]:
+            came[up["node"]].append(up["t"])
     by_node: dict[int, list[Mapping[str, Any]]] = defaultdict(list)
     for row in story.ins:
         by_node[row["node"]].append(row)
     for node, rows in by_node.items():
         free, wrote, recent = 0.0, 0.0, list[int]()
+        starts = sorted(came[node], reverse=True)
         for row in rows:
+            if starts and row["t"] >= starts[-1]:
+                free = starts.pop()         # a process that starts has nothing in hand
             out = story.outs.get((node, row["head"], row["id"], row["n"]))
             idle = row["t"] >= free
-            free = max(free, out["t"]) if out is not None else float("inf")
+            free = max(free, out["t"] if out is not None else row["t"] + _GONE)
             if row["w"]:
                 wrote = row["t"]
             fresh = row["x"] not in recent
@@ -155,13 +168,43 @@
             if out is None or out.get("lost") or out["s"] not in (200, 206) or not idle or row["w"] or not fresh:
                 continue
             # A write's put-off part may take a core at any later time: only nodes long without one count.
-            if node not in cold and row["t"] - wrote > 0.3 and _calm(day, row["t"] - start):
-                work.append((row["units"] * day.fleet.unit_time, out["t"] - row["t"]))
+            if row["t"] - wrote > 0.3:
+                work.append(_sample(day, row, out, row["t"] - start, run, came[node]))
+
+
+def _sample(day: Day, row: Mapping[str, Any], out: Mapping[str, Any], at: float, run: int, came: list[float]) -> Sample:
+    last = max((t for t in came if t <= row["t"]), default=None)
+    passed = 1.0 if last is None else min(1.0, (row["t"] - last) / max(1e-9, day.fleet.warm_after))
+    on = [x for x in day.trouble if x.at + 0.2 <= at <= x.at + x.length and x.kind == "pauses"]
+    others = any(x.kind in ("slow", "neighbour", "ageing") and x.at - 0.2 <= at <= x.at + x.length + 2
+                 for x in day.trouble)
+    calm = last is None and _calm(day, at)
+    return Sample(run * 10_000 + row["node"], day.class_[row["cls"]].name, row["units"] * day.fleet.unit_time,
+                  out["t"] - row["t"], 1.0 if others else passed, day.fleet.cold_from,
+                  on[0].size / 1000 if len(on) == 1 and not others else 0.0, calm)
+
+
+def _nodes(work: list[Sample], out: Fit) -> None:
+    """What service.py estimates. Nodes that came back cold are known by their reads before that."""
+    base = out.parts["node_cost"].value
+    of = service.kinds(work, base)
+    found = {"slow_times": service.slow_times(of), "cold_scale": service.cold_scale(work, of, base),
+             "pause_scale": service.pause_scale(work, of, base)}
+    for name, e in found.items():
+        out.parts[name] = Part(e.value, e.error, e.seen)
+    seen = {"cold_scale": {"crash", "unlisted_restart", "ageing", "preempt"}, "pause_scale": {"pauses"}}
+    out.poor += [f"{name} (too few reads tell it)" for name, of_kinds in seen.items()
+                 if of_kinds & set(out.kinds) and found[name].seen < 8]
+    for cls, e in service.class_scale(work, of, base).items():
+        out.by_class[cls] = Part(e.value, e.error, e.seen)
+        if e.seen < 8:
+            out.poor.append(f"class {cls}'s service time (too few reads found an idle node)")
 
 
-def _work(work: list[tuple[float, float]], out: Fit) -> None:
+def _work(samples: list[Sample], out: Fit) -> None:
     """node_cost and unit_scale. Nodes are fast or half as fast, and which is not told to a fit: the fast ones' line is
     the lower edge, so the median of what lies within half again of the least time a unit counts."""
+    work = [(s.named, s.took) for s in samples if s.calm and s.cold >= 1]
     if len(work) < LEAST:
         out.poor.append("work of nodes")
     if len(work) < 4:
--- a/fawnspool/model/params.py
+++ b/fawnspool/model/params.py
@@ -22,3 +22,7 @@
     drop_seen: float = 0.025         # until a node drops what is overdue
     node_start: float = 0.6          # until a started node's process listens; nodes of one trouble start in turn
     head_start: float = 1.4          # the same of a head's
+    slow_times: float = 2.0          # a slow node's time for a unit over a fast one's
+    cold_scale: float = 1.0          # the part of its power a node starts with, over the one that the day names
+    pause_scale: float = 1.0         # a pause's length over the one that the day names
+    class_scale: tuple[tuple[str, float], ...] = ()     # a class's time for a unit over all classes', by name
--- a/fawnspool/model/world.py
+++ b/fawnspool/model/world.py
@@ -92,8 +92,9 @@
     def start(self, cold: bool) -> None:
         w, f = self.world, self.world.day.fleet
         n = w.day.nodes
-        unit = f.unit_time * w.params.unit_scale * (2 if self.cell in w.slow else 1)
-        traits = NodeTraits(cores=f.cores, unit_time=unit, room=f.room, cold_from=f.cold_from, warm_after=f.warm_after,
+        unit = f.unit_time * w.params.unit_scale * (w.params.slow_times if self.cell in w.slow else 1)
+        traits = NodeTraits(cores=f.cores, unit_time=unit, room=f.room,
+                            cold_from=min(1.0, f.cold_from * w.params.cold_scale), warm_after=f.warm_after,
                             seek_saved=f.seek_saved, deferred=f.deferred, fall_multiple=n.cold_multiple,
                             fall=n.cold_fall, fall_slack=float(w.day.units.largest))
         self.behaviour = NodeBehaviour(traits, self.random, w.engine.now if cold else -math.inf)
@@ -113,7 +114,7 @@
             self.world.engine.after(0.0, self._pause, self.life)
 
     def _pause(self, life: int) -> None:
-        length = self.faults["pause_ms"] / 1000
+        length = self.faults["pause_ms"] / 1000 * self.world.params.pause_scale
         if not self.up or life != self.life or not length:
             return
         w = self.world
@@ -459,6 +460,8 @@
                  ops: list[Op] | None = None, luck: int = 0) -> None:
         self.day, self.seed, self.params = day, seed, params or Params()
         self.engine = Engine(_START)
+        scales = dict(self.params.class_scale)
+        self.scale = [scales.get(c.name, 1.0) for c in day.class_]
         # The day and its seed say who asks what and who is hit; `luck` draws the rest anew.
         self.own = f"{seed}-{luck}" if luck else f"{seed}"
         self.net, self.retries = Random(f"{self.own}-net"), Random(f"{self.own}-clients")
@@ -626,7 +629,8 @@
                   m="PUT" if req.writes else "GET", **about)
         node.works += 1
         attempt.work = node.works
-        work = Work(node.works, req.units, req.writes, req.extent, attempt.number == 0, attempt.deadline)
+        units = req.units * self.scale[req.cls]
+        work = Work(node.works, units, req.writes, req.extent, attempt.number == 0, attempt.deadline)
         taken = node.behaviour.arrive(now, work)
         if node.behaviour.fallen and node.up:
             self.note("fell", node=node.number)
--- a/tests/test_model_fit.py
+++ b/tests/test_model_fit.py
@@ -6,6 +6,7 @@
 from pathlib import Path
 from typing import Any
 
+import numpy as np
 import pytest
 
 from fawnspool.config.schema import load
@@ -13,6 +14,7 @@
 from fawnspool.days.day import Day, check
 from fawnspool.model.fit import Fit, fit
 from fawnspool.model.params import Params
+from fawnspool.model.service import Sample, cold_scale, fast_nodes, kinds, pause_scale, slow_times
 from fawnspool.model.world import World
 
 DAYS = Path(__file__).parent.parent / "days"
@@ -87,3 +89,44 @@
         played.append((day, list(world.rows)))
     got = fit(played).parts[part]
     assert got.value == pytest.approx(truth, abs=0.05) and got.seen >= 1
+
+
+def test_what_nodes_do_by_kind_class_cold_and_paused_is_found_again() -> None:
+    """A world whose slow nodes are slower, whose cold nodes weaker, whose pauses longer and one of whose classes dearer
+    than its day says."""
+    truth = replace(TRUTH, slow_times=2.6, cold_scale=0.6, pause_scale=1.4, class_scale=(("area-export", 1.3),))
+    played: list[tuple[Day, list[Mapping[str, Any]]]] = []
+    for name, seeds in (("lead-moves", range(1, 5)), ("crash", range(1, 5)), ("pauses", range(1, 7))):
+        for seed in seeds:
+            day = load(DAYS / f"{name}.hcl", Day, check)
+            day = replace(day, day=replace(day.day, length=14.0), load=replace(day.load, rate=30.0),
+                          trouble=tuple(replace(x, at=6.0) for x in day.trouble))
+            world = World(day, seed, Controller, truth)
+            world.run()
+            played.append((day, list(world.rows)))
+    got = fit(played)
+    assert got.parts["slow_times"].value == pytest.approx(2.6, rel=0.1)
+    assert got.parts["cold_scale"].value == pytest.approx(0.6, abs=0.12)
+    pause = got.parts["pause_scale"]       # few reads meet a pause, so it is told with a wide error
+    assert abs(pause.value - 1.4) < 2 * pause.error < 0.7 and pause.seen >= 8
+    assert got.by_class["area-export"].value / got.by_class["tile-read"].value == pytest.approx(1.3, rel=0.12)
+    assert got.by_class["journal"].value == pytest.approx(1.0, abs=0.06)
+    assert dict(got.params().class_scale).keys() == got.by_class.keys()
+    assert all(p.error > 0 for p in (*got.parts.values(), *got.by_class.values()))
+
+
+def test_pauses_and_ramps_are_told_by_many_reads_and_not_by_few() -> None:
+    rng = np.random.default_rng(1)
+    calm = [Sample(n, "a", 0.02, 0.001 + 0.02 * (2.5 if n == 3 else 1.0)) for n in range(4) for _ in range(5)]
+    of = kinds(calm, 0.001)
+    assert slow_times(of).value == pytest.approx(2.5) and fast_nodes(of) == {0, 1, 2}
+    held = [Sample(0, "a", 0.02, 0.021 + 0.42 * (1.0 if k % 2 else float(rng.random())), pause=0.3, calm=False)
+            for k in range(200)]
+    told = pause_scale([*calm, *held], of, 0.001)
+    assert told.value == pytest.approx(1.4, rel=0.05) and told.error < 0.05
+    assert pause_scale(calm, of, 0.001).seen == 0 and pause_scale(calm, of, 0.001).value == 1.0
+    ramp = [Sample(1, "a", 0.02, 0.001 + 0.02 / (0.18 + 0.82 * x), cold=x, start=0.3, calm=False)
+            for x in (0.1, 0.2, 0.3, 0.5, 0.65)]
+    assert cold_scale([*calm, *ramp], of, 0.001).value == pytest.approx(0.6)
+    assert cold_scale(calm, of, 0.001).seen == 0
+    assert kinds(calm[:2], 0.001) == {}
