--- a/fawnspool/config/schema.py
+++ b/fawnspool/config/schema.py
@@ -104,15 +104,16 @@
 
 
 def _over(base: _Body, own: _Body) -> _Body:
-    """`own` laid over `base`: its settings win, blocks of one name and label are merged."""
+    """`own` laid over `base`: its settings win, blocks of one name and label are merged; a block that stands twice in
+    `own` is left twice, to be told."""
     mine = {name for name, _, _ in own.settings}
     out = _Body(own.line, [row for row in base.settings if row[0] not in mine] + own.settings, [])
     left = list(own.blocks)
     for name, labels, body in base.blocks:
-        same = [row for row in left if row[:2] == (name, labels)]
-        for row in same:
-            left.remove(row)
-            body = _over(body, row[2])
+        same = next((row for row in left if row[:2] == (name, labels)), None)
+        if same is not None:
+            left.remove(same)
+            body = _over(body, same[2])
         out.blocks.append((name, labels, body))
     out.blocks += left
     return out
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -74,3 +74,19 @@
     assert code == 1 and "BROKEN answered once" in text
     code, text = run("rules", "check", str(tmp_path / "c.rec"), "--day", day, "--json")
     assert code == 1 and json.loads(text)["rules"][0]["breaches"]
+
+
+def test_a_recording_that_cannot_begin_names_its_setting(tmp_path: Path, monkeypatch: pytest.MonkeyPatch,
+                                                         capsys: pytest.CaptureFixture[str]) -> None:
+    from dataclasses import replace
+
+    from fawnspool.cli import serve
+    from fawnspool.config.head import HeadConfig, check
+    from fawnspool.config.schema import load
+    monkeypatch.chdir(tmp_path)
+    (tmp_path / "file").write_text("in the way")
+    config = load(serve.DEFAULT, HeadConfig, check)
+    config = replace(config, head=replace(config.head, listen="127.0.0.1:0", record=str(tmp_path / "file/h.mrec")))
+    with pytest.raises(SystemExit) as ended:
+        serve.run(config)
+    assert ended.value.code == 2 and "head.record" in capsys.readouterr().err
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -145,6 +145,9 @@
            a='base = "b.hcl"\n', b='base = "a.hcl"\n', gone='base = "nowhere.hcl"\n')
     with pytest.raises(ConfigError, match=r"low\.hcl:4: fleet\.cores"):
         load(tmp_path / "top.hcl", Day, check_day)
+    _write(tmp_path, two=f'base = "{days}/burst.hcl"\nday {{\n  heads = 3\n}}\nday {{\n  heads = 4\n}}\n')
+    with pytest.raises(ConfigError, match=r"two\.hcl:5: day: stands twice"):
+        load(tmp_path / "two.hcl", Day, check_day)
     with pytest.raises(ConfigError, match="circle"):
         load(tmp_path / "a.hcl", Day, check_day)
     with pytest.raises(ConfigError, match="nowhere"):
