--- /dev/null
+++ b/tests/e2e/test_relay.py
@@ -0,0 +1,246 @@
+"""A live head on loopback: what reaches shelfs, what reaches clients, and what spoilt peers may not do."""
+from __future__ import annotations
+
+import time
+from collections.abc import Iterator
+from pathlib import Path
+from typing import Any
+
+import gevent
+import pytest
+
+from fawnspool import interface as i
+from fawnspool.relay.config import ConfigError
+from fawnspool.standins.platform import Asked, DiscoveryServer
+from tests.e2e.relayrig import SETTINGS, RelayRig, headers, text
+from tests.e2e.rig import wait_for
+
+
+@pytest.fixture
+def rig(tmp_path: Path) -> Iterator[RelayRig]:
+    made = RelayRig(tmp_path)
+    yield made
+    made.stop()
+
+
+def outcomes(rig: RelayRig) -> list[i.Outcome]:
+    """Every outcome that the module is told from now on."""
+    seen, handle = list[i.Outcome](), rig.core.loop.module.handle
+
+    def listen(now: float, event: Any) -> Any:
+        seen.extend([event] if isinstance(event, i.Outcome) else [])
+        return handle(now, event)
+
+    rig.core.loop.module.handle = listen
+    return seen
+
+
+def test_a_read_and_a_write_pass_unchanged(rig: RelayRig) -> None:
+    seen = outcomes(rig)
+    rig.shelfs[1].report = [(b"Server-Load", b"rif=7,queue=2,lat_ms=61.5"), (b"X-Volume-Use", b"140"),
+                            (b"X-Served-Elsewhere", b"12")]
+    c = rig.client()
+    assert c.ask("GET", "/_health").status == 200
+    got: Any = c.ask("GET", "/read/a?b=c", **headers("r1", shard=1))
+    assert (got.status, got.data) == (200, b"r1 GET /read/a?b=c")
+    got = c.ask("PUT", "/note", b"x" * 60_000, **headers("w1"), Idempotency_Key="k-9")
+    assert (got.status, got.data) == (200, b"w1 PUT /note")
+    write = rig.shelfs[0].asked[0]
+    assert write.body == b"x" * 60_000 and write.headers[b"idempotency-key"] == b"k-9"
+    assert 0 < int(write.headers[b"request-timeout-ms"]) <= 1500
+    assert (seen[0].result, seen[0].by_others, seen[0].used, seen[0].load) == (i.Result.SERVED, 12, 1.4, (7.0, 61.5))
+    assert seen[1].load is None and seen[1].used is None
+    assert rig.program.front.open == {} and not rig.core.pending
+
+
+BAD = {
+    "no id": ("/read", {"Request-Id": ""}), "class": ("/nothing", {}), "plan": ("/read", {"X-Plan": "gold"}),
+    "object": ("/read", {"X-Object": "zz"}), "patience": ("/read", {"Request-Timeout-Ms": "-3"}),
+    "no number": ("/read", {"Request-Timeout-Ms": "soon"}), "io": ("/read", {"X-IO": "volume=1,units=2"}),
+    "units": ("/read", {"X-IO": "volume=1,units=9,shard=0,hosts=1"}),
+    "shard": ("/read", {"X-IO": "volume=1,units=1,shard=2,hosts=1"}), "no key": ("/note", {})}
+
+
+@pytest.mark.parametrize("case", BAD)
+def test_what_does_not_read_is_answered_and_goes_no_further(rig: RelayRig, case: str) -> None:
+    target, change = BAD[case]
+    got = rig.client().ask("GET", target, **headers("r1") | change)
+    assert 400 <= got.status < 500
+    assert rig.asked() == [] and rig.core.metrics.module_events < 20
+    assert rig.client().ask("GET", "/read", **headers("r2")).status == 200
+
+
+RAW = {
+    "two framings": text("/read", headers("r1") | {"Content-Length": "4", "Transfer-Encoding": "chunked"}) + b"0\r\n",
+    "two lengths": text("/read", headers("r1") | {"Content-Length": "4", "content-length": "5"}) + b"abcd",
+    "negative": text("/read", headers("r1") | {"Content-Length": "-4"}),
+    "huge": text("/read", headers("r1") | {"Content-Length": str(60 << 20)}) + b"x" * 100_000,
+    "noise": b"\x00\xff\x13 nothing\r\n\r\n",
+    "endless head": b"GET /read HTTP/1.1\r\nHost: h\r\n" + b"X-A: " + b"a" * 20_000,
+    "many fields": b"GET /read HTTP/1.1\r\n" + b"X-A: 1\r\n" * 200}
+
+
+@pytest.mark.parametrize("case", RAW)
+def test_framing_in_doubt_gets_an_error_or_a_close_at_once(rig: RelayRig, case: str) -> None:
+    began, sock = time.monotonic(), rig.raw(RAW[case])
+    try:
+        first = sock.recv(4096)
+    except ConnectionError:
+        first = b""
+    assert first == b"" or first.split(b" ")[1][:1] == b"4"
+    assert time.monotonic() - began < 2.0 and rig.asked() == []
+
+
+def test_an_open_id_is_not_taken_twice(rig: RelayRig) -> None:
+    rig.shelfs[0].hold.clear()
+    first = rig.raw(text("/read", headers("r1")))
+    wait_for(lambda: rig.asked() == ["r1"])
+    assert rig.client().ask("GET", "/read", **headers("r1")).status == 409
+    rig.shelfs[0].hold.set()
+    assert b"r1 GET /read" in first.recv(4096)
+    assert rig.asked() == ["r1"]
+
+
+def test_quiet_connections_and_half_requests_are_closed_in_time(rig: RelayRig) -> None:
+    began = time.monotonic()
+    quiet, half = rig.raw(b""), rig.raw(text("/read", headers("r1"))[:40])
+    drip = rig.raw(text("/note", headers("w1") | {"Idempotency-Key": "k", "Content-Length": "100"}, "PUT"))
+
+    def drips() -> None:
+        while True:
+            gevent.sleep(0.05)
+            drip.send(b"x")
+
+    feeder = gevent.spawn(drips)
+    assert quiet.recv(10) == b"" and half.recv(12).startswith(b"HTTP/1.1 4")
+    assert drip.recv(12).startswith(b"HTTP/1.1 4")
+    feeder.kill()
+    assert time.monotonic() - began < 3.0 and rig.asked() == []
+
+
+def test_a_full_head_closes_who_waits_longest_without_a_request(tmp_path: Path) -> None:
+    rig = RelayRig(tmp_path, sockets=64)
+    try:
+        most = rig.program.front.server.most
+        used = rig.client()
+        assert used.ask("GET", "/read", **headers("r0")).status == 200
+        quiet = [rig.raw(b"") for _ in range(most + 5)]
+        wait_for(lambda: len(rig.program.front.server.open) == most)
+        assert quiet[0].recv(1) == b""
+        assert rig.client().ask("GET", "/read", **headers("r1")).status == 200
+        assert used.ask("GET", "/read", **headers("r2")).status == 200      # it asked before: the quiet ones go first
+    finally:
+        rig.stop()
+
+
+SPOILT = {
+    "noise": b"\x7f\x00garbage garbage\r\n\r\n", "endless head": b"HTTP/1.1 200 OK\r\n" + b"X-A: b\r\n" * 5000,
+    "two lengths": b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\nabcd",
+    "3 GB": b"HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\n" + b"z" * 300_000,
+    "chunks without end": b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + b"ffff\r\n" + b"z" * 65535 +
+                          b"\r\nffff\r\n" + b"z" * 65535 + b"\r\n"}
+
+
+@pytest.mark.parametrize("case", SPOILT)
+def test_a_spoilt_answer_is_never_passed_on(rig: RelayRig, case: str) -> None:
+    seen = outcomes(rig)
+    rig.shelfs[0].script = lambda asked: SPOILT[case] if len(rig.shelfs[0].asked) == 1 else None
+    began = time.monotonic()
+    got: Any = rig.client().ask("GET", "/read", **headers("r1"))
+    assert (got.status, got.data) == (200, b"r1 GET /read")         # the second try
+    assert [o.result for o in seen] == [i.Result.BROKEN, i.Result.SERVED]
+    assert time.monotonic() - began < 1.0
+
+
+def plain(asked: Asked, more: bytes = b"") -> bytes:
+    return b"HTTP/1.1 200 OK\r\n" + more + b"Content-Length: %d\r\n\r\n" % len(asked.made()) + asked.made()
+
+
+SURPLUS = {
+    "noise": lambda a: plain(a) + b"\x00noise", "twice": lambda a: plain(a) + plain(a),
+    "early": lambda a: b"HTTP/1.1 102 Processing\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n" + plain(a),
+    "report": lambda a: plain(a, b"Server-Load: rif=many,lat_ms=\r\nX-Volume-Use: lots\r\nX-Served-Elsewhere: -4\r\n")}
+
+
+@pytest.mark.parametrize("case", SURPLUS)
+def test_what_comes_beside_a_good_answer_does_not_spoil_it(rig: RelayRig, case: str) -> None:
+    rig.shelfs[0].script = SURPLUS[case]
+    c = rig.client()
+    for k in range(3):
+        got: Any = c.ask("GET", "/read", **headers(f"r{k}"))
+        assert (got.status, got.data) == (200, b"r%d GET /read" % k)
+    assert rig.asked() == ["r0", "r1", "r2"]        # one attempt each
+
+
+def test_given_up_is_answered_at_once_and_says_when_to_come_back(rig: RelayRig) -> None:
+    began = time.monotonic()
+    got = rig.client().ask("GET", "/read", **headers("r1", plan="tight", units=8))
+    assert got.status == 503 and 0 < float(got.headers["Retry-After"]) <= 0.5
+    assert time.monotonic() - began < 0.3 and rig.asked() == []
+
+
+def test_a_turned_away_attempt_never_ran_and_an_error_may_have(rig: RelayRig) -> None:
+    seen = outcomes(rig)
+    answers = [b"HTTP/1.1 503 Full\r\nNot-Started: 1\r\nContent-Length: 0\r\n\r\n",
+               b"HTTP/1.1 500 Oh\r\nContent-Length: 0\r\n\r\n", b"HTTP/1.1 503 Full\r\nContent-Length: 0\r\n\r\n"]
+    rig.shelfs[0].script = lambda asked: answers.pop(0) if answers else None
+    assert rig.client().ask("GET", "/read", **headers("r1")).status == 200
+    assert [o.result for o in seen] == [i.Result.FULL, i.Result.ERROR, i.Result.ERROR, i.Result.SERVED]
+
+
+def test_a_leaving_shelf_gets_nothing_new(rig: RelayRig) -> None:
+    rig.discovery.put(rig.shelfs[0], "s-0", "leaving")
+    wait_for(lambda: rig.program.discovery.version == rig.discovery.seq)
+    assert rig.client().ask("GET", "/read", **headers("r1", wait="300")).status in (502, 503, 504)
+    assert rig.client().ask("GET", "/read", **headers("r2", shard=-1)).status == 200
+    assert [a.ident for a in rig.shelfs[1].asked] == ["r2"] and rig.shelfs[0].asked == []
+
+
+def test_discovery_that_fails_is_asked_again_and_one_that_moves_is_followed(rig: RelayRig) -> None:
+    kinds = list[i.ListKind]()
+    handle = rig.core.loop.module.handle
+
+    def listen(now: float, event: Any) -> Any:
+        kinds.extend([event.kind] if isinstance(event, i.NodeList) else [])
+        return handle(now, event)
+
+    rig.core.loop.module.handle = listen
+    rig.discovery.down = True
+    for queue in list(rig.discovery.watchers):
+        queue.put(rig.discovery.whole())
+    wait_for(lambda: i.ListKind.FAILED in kinds)
+    rig.discovery.down = False
+    wait_for(lambda: rig.discovery.watchers)
+    other = DiscoveryServer()
+    other.rows, other.seq = dict(rig.discovery.rows), rig.discovery.seq
+    rig.write(other)
+    rig.program.reload()
+    wait_for(lambda: other.watchers)
+    wait_for(lambda: not rig.discovery.watchers)
+    other.put(rig.shelfs[0], "s-0", "left")
+    wait_for(lambda: rig.program.discovery.version == other.seq)
+    assert len(rig.program.discovery.nodes) == 1
+    rig.path.write_text("{")
+    rig.program.reload()                # a file that does not read changes nothing
+    assert rig.program.config.discovery == other.server.address
+    other.server.stop()
+
+
+def test_what_is_in_hand_at_the_end_is_answered(rig: RelayRig) -> None:
+    kept = rig.client()
+    assert kept.ask("GET", "/read", **headers("r0")).status == 200
+    rig.shelfs[0].hold.clear()
+    sock = rig.raw(text("/read", headers("r1")))
+    wait_for(lambda: "r1" in rig.asked())
+    ending = gevent.spawn(rig.program.drain)
+    wait_for(lambda: rig.program.front.server.leaving)
+    assert rig.client().ask("GET", "/read", **headers("r2", shard=1)).status == 200     # it still comes
+    rig.shelfs[0].hold.set()
+    assert b"r1 GET /read" in sock.recv(4096)
+    ending.join(timeout=5)
+    assert ending.ready() and rig.program.ended.is_set()
+
+
+def test_settings_name_what_is_missing(tmp_path: Path) -> None:
+    with pytest.raises(ConfigError, match=r"guarantees\.fall"):
+        RelayRig(tmp_path, guarantees={k: v for k, v in SETTINGS["guarantees"].items() if k != "fall"})
