Let a head that is told to end serve kept connections until shortly before SIGKILL

Hypotheses: (1) SIGHUP loses the list: ruled out, 0.7 % fail from 0 to 10 s with both moves in it, and no 'out of reach' line; (2) heads start slowly: ruled out, restarts took 0.5 to 0.7 s; (3) the head leaves long before it has to: each log shows 'ending' and the next 'serving' 4.5 s later whatever was in hand (0 to 27), so the platform starts the next one at a fixed time, and attempts fell to 0.55 a request meanwhile. Faulty lines: relay/program.py, drain(), which closed connections at once (closing_down) and ended 0.7 s after SIGTERM where nothing was in hand. Change: kept connections are served until 0.5 s before SIGKILL may come; patience is cut to what is left; what is open then is answered.

--- a/fawnspool/net/server.py
+++ b/fawnspool/net/server.py
@@ -328,8 +328,11 @@
         return len(self.open) > len(self.idle) + len(self.silent)
 
     def closing_down(self) -> None:
-        """From now on every answer is its connection's last; new connections are still taken."""
+        """From now on every answer is its connection's last; those that wait for a request end now. New ones are
+        still taken."""
         self.leaving = True
+        for conn in [*self.idle, *self.silent]:
+            conn.wire.close()
 
     def _run(self, conn: Connection) -> None:
         try:
--- a/fawnspool/relay/front.py
+++ b/fawnspool/relay/front.py
@@ -6,6 +6,7 @@
 """
 from __future__ import annotations
 
+import math
 import re
 import time
 
@@ -37,6 +38,7 @@
         self.classes = {c.name.encode(): k for k, c in enumerate(settings.classes)}
         self.plans = {p.name.encode(): k for k, p in enumerate(settings.plans)}
         self.open: dict[bytes, Pending] = {}        # by the client's id: one that is open is not taken twice
+        self.until = math.inf                       # all answers have left by then (monotonic)
         self.server = Server(listen, self.handle, limits=Limits(HEAD_BYTES, HEAD_FIELDS), idle_close=KEPT_S,
                              silent_close=QUIET_S, piece_timeout=QUIET_S, most=most, on_error=self._error,
                              on_bad=self._bad, turn=TURN, due=self._due, evicts=True)
@@ -44,6 +46,11 @@
     def start(self) -> None:
         self.server.start()
 
+    def end_all(self) -> None:
+        """The program ends: whatever is still open is answered now."""
+        for pending in list(self.open.values()):
+            self.core.give_up(pending, Kind.FAILED)
+
     def _error(self, bad: Exception) -> None:
         self.core.log.error("the front raised", error=str(bad), exc_info=bad)
 
@@ -76,6 +83,7 @@
         margin = min(self.settings.answer_slack, patience / 4)
         pending = Pending(req, head.method, head.target, forward, Body(body, len(body)), exchange, ident.decode(), "",
                           exchange.came, exchange.came + patience - margin, cls.name, plan.name)
+        pending.deadline = min(pending.deadline, self.until)
         self.open[ident] = pending
         try:
             self.core.take(pending)
--- a/fawnspool/relay/program.py
+++ b/fawnspool/relay/program.py
@@ -20,7 +20,11 @@
 from fawnspool.telemetry.sums import Sums
 
 OWN_FILES = 32          # descriptors that are neither a client's nor a shelf's: loop, log, discovery, spare
-LATE_S = 0.7            # after SIGTERM new requests may still come for this long (PROTOCOL, Figures)
+# PROTOCOL, Figures: after SIGTERM new connections come for 0.4 s at most, kept ones are used as long as they stay open,
+# and SIGKILL comes after the longest deadline, counted as 3 s at most, and 0.7 s more.
+NEW_S, COUNTED_S, MORE_S = 0.4, 3.0, 0.7
+SPARE_S = 0.3           # all is answered so long before SIGKILL may come
+LAST_S = 0.2            # what comes last has so long for its answer
 _STEP = 0.02
 
 
@@ -58,14 +62,22 @@
         self.config = new
 
     def drain(self) -> None:
-        """SIGTERM: serve what still comes and what is in hand, tell clients to go, and end."""
-        self.log.info("ending", in_hand=len(self.front.open))
-        server = self.front.server
+        """SIGTERM: go on serving the clients that still come, as nobody else has what their volumes need, until the
+        time that the platform leaves is nearly over; then let them go, answer what is in hand, and end."""
+        told, server = time.monotonic(), self.front.server
+        kill = told + MORE_S + min(COUNTED_S, max(c.deadline for c in self.config.settings.classes))
+        self.front.until = kill - SPARE_S
+        close = self.front.until - LAST_S
+        self.log.info("ending", in_hand=len(self.front.open), connections=len(server.open))
+        while (now := time.monotonic()) < close and (now < told + 2 * NEW_S or server.open):
+            gevent.sleep(_STEP)
         server.closing_down()
-        stop_at = time.monotonic() + LATE_S
-        last = stop_at + max(c.deadline for c in self.config.settings.classes)
-        while (now := time.monotonic()) < last and (now < stop_at or self.front.open or server.busy()):
+        while time.monotonic() < self.front.until and (self.front.open or server.busy()):
+            gevent.sleep(_STEP)
+        self.front.end_all()
+        while time.monotonic() < kill - SPARE_S / 2 and server.busy():
             gevent.sleep(_STEP)
+        self.log.info("ended", after_s=round(time.monotonic() - told, 2), in_hand=len(self.front.open))
         self.ended.set()
 
     def stop(self) -> None:
