Tell a line of state now and then, to be held against what peers saw

A head's log said nothing between start and end. The line gives what it did and believes of each node; a second apart while the live head is brought up.

--- a/fawnspool/relay/program.py
+++ b/fawnspool/relay/program.py
@@ -25,6 +25,7 @@
 NEW_S, COUNTED_S, MORE_S = 0.4, 3.0, 0.7
 SPARE_S = 0.3           # all is answered so long before SIGKILL may come
 LAST_S = 0.2            # what comes last has so long for its answer
+TELL_S = 1.0            # between two lines of state in the log
 _STEP = 0.02
 
 
@@ -44,11 +45,43 @@
                                                     self.log)
         self.front = Front(self.core, s, config.listen, max(4, room - room // 3))
         self.ended = Event()
+        self.teller: Any = None
 
     def start(self) -> None:
         self.core.start()
         self.discovery.start(self.config.known)
         self.front.start()
+        self.teller = gevent.spawn(self._tell)
+
+    def _tell(self) -> None:
+        """Now and then a line of what the head has done and believes, to be held against what its peers saw."""
+        before: dict[str, float] = {}
+        while True:
+            gevent.sleep(TELL_S)
+            now = self.figures()
+            self.log.info("state", connections=len(self.front.server.open), in_hand=len(self.front.open),
+                          **{k: round(v - before.get(k, 0), 4) for k, v in now.items() if v != before.get(k, 0)},
+                          nodes=self.nodes())
+            before = now
+
+    def figures(self) -> dict[str, float]:
+        """Sums since the start: requests by outcome, attempts by result, malformed ones by status, time by use."""
+        m, out = self.core.metrics, dict[str, float]()
+        rows: list[tuple[str, float]] = [(f"request {o}", n) for (_, _, o), n in m.requests.items()]
+        rows += [(f"attempt {r}", n) for (_, r), n in m.attempts.items()]
+        rows += [(f"bad {status}", n) for status, n in m.bad_requests.items()]
+        rows += [("module_s", m.module_seconds), ("events", m.module_events), ("errors", m.module_errors),
+                 ("overdue", m.overdue), ("lag_s", m.lag.total), ("cpu_s", time.process_time())]
+        for name, value in rows:
+            out[name] = out.get(name, 0.0) + value
+        return out
+
+    def nodes(self) -> list[str]:
+        """A few words a node: cell, state, bound, held and out, mean response and wait in milliseconds."""
+        lanes = self.core.loop.module.lanes.values()
+        return [f"{x.cell}:{'sound' if x.sound() else 'trials'}{'' if x.born is None else ' cold'} b{x.bound:.1f} "
+                f"h{x.held} o{len(x.out)} r{x.response * 1000:.0f} w{x.wait * 1000:.0f}"
+                for x in lanes if x.node is not None]
 
     def reload(self) -> None:
         """SIGHUP: the file was replaced. What can change under load is where discovery is; the rest needs a restart."""
@@ -81,6 +114,7 @@
         self.ended.set()
 
     def stop(self) -> None:
+        self.teller.kill()
         self.front.server.stop()
         self.discovery.stop()
         self.core.stop()
--- a/tests/e2e/test_relay.py
+++ b/tests/e2e/test_relay.py
@@ -53,6 +53,9 @@
     assert (seen[0].result, seen[0].by_others, seen[0].used, seen[0].load) == (i.Result.SERVED, 12, 1.4, (7.0, 61.5))
     assert seen[1].load is None and seen[1].used is None
     assert rig.program.front.open == {} and not rig.core.pending
+    figures = rig.program.figures()
+    assert figures["request served"] == 2 and figures["attempt served"] == 2 and figures["events"] > 4
+    assert [row.partition(" ")[0] for row in rig.program.nodes()] == ["0:sound", "1:sound"]
 
 
 BAD = {
