--- a/fawnspool/head/core.py
+++ b/fawnspool/head/core.py
@@ -26,10 +26,10 @@
     from fawnspool.records.module import Recorder
     from fawnspool.telemetry.traces import Traces
 
-_POOLS_MOST = 1024
 _WORKERS_IDLE = 256     # greenlets kept for the next attempts
 _SWEEP = 0.05           # seconds between two looks for clients that left
 _LOOKS = 500            # clients looked at in one go
+_PRUNED = 2             # pools looked at in one go
 
 
 class Known(Protocol):
@@ -77,6 +77,7 @@
         self.metrics, self.log, self.traces = metrics, log, traces
         self.pending: dict[int, Pending] = {}
         self.to_look: list[int] = []
+        self.to_prune: list[tuple[str, int]] = []
         self.pools: dict[tuple[str, int], Pool] = {}
         self.ids = time.time_ns() // 1_000_000 << 20    # a later life's numbers are higher
         self.table: dict[type, Callable[[Any], None]] = {
@@ -103,11 +104,29 @@
             gevent.sleep(_SWEEP)
             self.metrics.lag.add(max(0.0, time.monotonic() - due))
             self._now_and_then()
+            self._prune()
             self._look_for_left()
 
     def _now_and_then(self) -> None:
         """What else an edge looks at on every sweep."""
 
+    def _prune(self) -> None:
+        """Connections that nobody will use again are closed. Guards the descriptors: where nodes come and go, each
+        that went would keep its idle ones for ever. It looks at a few pools a sweep, in turn."""
+        if not self.to_prune:
+            self.to_prune = list(self.pools)
+        listed = {known.address for known in self.list.nodes.values()}
+        for where in [self.to_prune.pop() for _ in range(min(_PRUNED, len(self.to_prune)))]:
+            pool = self.pools.get(where)
+            if pool is None:
+                continue
+            if where in listed:
+                pool.prune()
+                continue
+            pool.close_idle()
+            if not pool.open:
+                del self.pools[where]
+
     def _look_for_left(self) -> None:
         """Clients that closed while their answers were awaited. Looked for now and then, as watching each socket would
         cost every request; at most `_LOOKS` a time, in turn."""
@@ -291,9 +310,6 @@
         if pool is None:
             n = self.bounds
             pool = self.pools[where] = Pool(where, n.most, n.connect_timeout, n.idle_close, lenient=n.lenient)
-            if len(self.pools) > _POOLS_MOST:       # nodes long gone
-                for old in [a for a, p in self.pools.items() if not p.open and a != where]:
-                    del self.pools[old]
         return pool
 
     def _close_idle(self, action: i.CloseIdle) -> None:
--- a/fawnspool/net/client.py
+++ b/fawnspool/net/client.py
@@ -145,6 +145,13 @@
         self.open -= 1
         link.close()
 
+    def prune(self) -> None:
+        """Drop idle links that have lain too long or that the other side has closed: nobody may ever take them."""
+        now = time.monotonic()
+        for link in [x for x in self.idle if now - x.used >= self.idle_close or x.stale()]:
+            self.idle.remove(link)
+            self.drop(link)
+
     def close_idle(self) -> None:
         while self.idle:
             self.drop(self.idle.pop())
--- a/fawnspool/net/server.py
+++ b/fawnspool/net/server.py
@@ -301,7 +301,8 @@
                 sock, peer = self.sock.accept()
             except OSError as bad:
                 if bad.errno in (errno.EMFILE, errno.ENFILE, errno.ECONNABORTED):
-                    gevent.sleep(0.01)      # out of descriptors: wait for one to be closed
+                    if not self.evicts or not self._evict():
+                        gevent.sleep(0.01)      # out of descriptors: wait for one to be closed
                     continue
                 return
             if len(self.open) >= self.most and not (self.evicts and self._evict()):
--- a/fawnspool/relay/program.py
+++ b/fawnspool/relay/program.py
@@ -20,6 +20,7 @@
 from fawnspool.telemetry.sums import Sums
 
 OWN_FILES = 32          # descriptors that are neither a client's nor a shelf's: loop, log, discovery, spare
+IDLE_SHARE = 0.8        # of the time after which shelfs close an idle connection: a request must not cross that
 # PROTOCOL, Figures: after SIGTERM new connections come for 0.4 s at most, kept ones are used as long as they stay open,
 # and SIGKILL comes after the longest deadline, counted as 3 s at most, and 0.7 s more.
 NEW_S, COUNTED_S, MORE_S = 0.4, 3.0, 0.7
@@ -39,7 +40,7 @@
         room = max(8, config.sockets - OWN_FILES)
         per_node = max(4, room // 3 // max(1, s.cells))
         self.core = Core(s, Controller(s, config.seed), ShelfSpeech(s),
-                         PoolBounds(per_node, s.connect_timeout or 0.25, config.idle_close, lenient=True), Sums(),
+                         PoolBounds(per_node, s.connect_timeout or 0.25, IDLE_SHARE * config.idle_close, lenient=True), Sums(),
                          self.log)
         self.discovery = self.core.list = Discovery(config.discovery, config.zones, config.kinds, self.core.loop.tell,
                                                     self.log)
@@ -60,6 +61,7 @@
             gevent.sleep(TELL_S)
             now = self.figures()
             self.log.info("state", connections=len(self.front.server.open), in_hand=len(self.front.open),
+                          to_shelfs=sum(p.open for p in self.core.pools.values()),
                           **{k: round(v - before.get(k, 0), 4) for k, v in now.items() if v != before.get(k, 0)},
                           nodes=self.nodes())
             before = now
--- a/tests/e2e/test_relay.py
+++ b/tests/e2e/test_relay.py
@@ -201,6 +201,19 @@
     assert [a.ident for a in rig.shelfs[1].asked] == ["r2"] and rig.shelfs[0].asked == []
 
 
+def test_connections_to_shelfs_that_left_or_closed_are_given_back(rig: RelayRig) -> None:
+    for k in range(2):
+        assert rig.client().ask("GET", "/read", **headers(f"r{k}", shard=k)).status == 200
+    wait_for(lambda: sum(p.open for p in rig.core.pools.values()) == 2)
+    rig.discovery.change(rig.discovery.rows["s-0"] | {"health": "left"})
+    wait_for(lambda: rig.shelfs[0].server.address not in rig.core.pools)
+    wait_for(lambda: not rig.shelfs[0].server.open)             # seen from the other end
+    pool = rig.core.pools[rig.shelfs[1].server.address]
+    rig.shelfs[1].server.reset_all()
+    wait_for(lambda: pool.open == 0)
+    assert rig.client().ask("GET", "/read", **headers("r3", shard=1)).status == 200
+
+
 def test_discovery_that_fails_is_asked_again_and_one_that_moves_is_followed(rig: RelayRig) -> None:
     kinds = list[i.ListKind]()
     handle = rig.core.loop.module.handle
