--- a/fawnspool/relay/program.py
+++ b/fawnspool/relay/program.py
@@ -40,8 +40,8 @@
         room = max(8, config.sockets - OWN_FILES)
         per_node = max(4, room // 3 // max(1, s.cells))
         self.core = Core(s, Controller(s, config.seed), ShelfSpeech(s),
-                         PoolBounds(per_node, s.connect_timeout or 0.25, IDLE_SHARE * config.idle_close, lenient=True), Sums(),
-                         self.log)
+                         PoolBounds(per_node, s.connect_timeout or 0.25, IDLE_SHARE * config.idle_close, lenient=True),
+                         Sums(), self.log)
         self.discovery = self.core.list = Discovery(config.discovery, config.zones, config.kinds, self.core.loop.tell,
                                                     self.log)
         self.front = Front(self.core, s, config.listen, max(4, room - room // 3))
