Take answers of up to 1 MiB: good ones of 400 KB were thrown away as spoilt

PROTOCOL names 64 KiB for a body; the assumption was not measured before it was built on. Faulty lines: relay/shelfs.py, hold_most = BODY_MOST. Change: answers are held up to 1 MiB; one that names more is dropped before any of it is read.

--- a/fawnspool/head/attempts.py
+++ b/fawnspool/head/attempts.py
@@ -164,6 +164,8 @@
     large = status.length is None or status.length > speech.hold_most
     if speech.streams and large and status.code in (200, 206):
         return _pass_on(pending, attempt, link, status, begun)
+    if large and status.length is not None:
+        raise _Lost(Ending.WRONG_LENGTH)        # it names more than any answer has: nothing of it is read
     try:
         body = link.body(attempt.deadline, speech.hold_most)
     except TimeoutError:
--- a/fawnspool/relay/shelfs.py
+++ b/fawnspool/relay/shelfs.py
@@ -10,7 +10,8 @@
 from fawnspool.interface import Settings
 from fawnspool.net.http import Status, request_bytes
 
-BODY_MOST = 65536               # bytes of a body, either way (PROTOCOL)
+BODY_MOST = 65536               # bytes of a client's body (PROTOCOL)
+ANSWER_MOST = 1 << 20           # of an answer: good ones of up to 400 KB were seen, though PROTOCOL names 64 KiB
 _NOT_STARTED = b"not-started"
 
 
@@ -18,7 +19,7 @@
     """An answer's report that does not read tells nothing; the answer itself stays good."""
 
     streams = False
-    hold_most = BODY_MOST
+    hold_most = ANSWER_MOST
 
     def __init__(self, settings: Settings) -> None:
         self.fields = settings.load_fields
