End connections with their answers in a crowd: clients had none left to ask on

Hypotheses: (1) the module refuses: ruled out by those counts, requests never reach it; (2) evictions hit requests that had come: ruled out, a trace of 8,915 evictions found none with a byte waiting; (3) clients, who may hold a third of the descriptors (128 of 384), have no connection left, as each asks once on a new one and stays: the trace shows 135 to 142 idle connections at every eviction, that is their share, and hardly any that ever carried a second request. Test: answers end their connections while it is crowded.

--- a/fawnspool/net/server.py
+++ b/fawnspool/net/server.py
@@ -67,7 +67,7 @@
         self.answered = True
         if not self.read_all and not self._rest_is_here():
             close = True
-        close = close or not self.head.keep_alive or self.conn.server.leaving
+        close = close or not self.head.keep_alive or self.conn.server.crowded()
         head = head_bytes(status, headers, len(body), close)
         bare = self.head.method == b"HEAD" or status in (204, 304)
         self.conn.closing |= close
@@ -263,20 +263,21 @@
     most; 0: no bound. due: until when a request may wait for its turn. silent_close: seconds in which a new
     connection must begin its first request (None: idle_close). evicts: a whole request must come within
     piece_timeout, and where `most` connections are open, the one that has waited longest without a request makes
-    room."""
+    room. crowd: with so many connections open an answer ends its own; 0: never."""
 
     def __init__(self, address: tuple[str, int], handler: Callable[[Exchange], None], *,
                  limits: Limits | None = None, idle_close: float = 60.0, piece_timeout: float = 10.0,
                  most: int = 4096, on_error: Callable[[Exception], None] | None = None,
                  on_bad: Callable[[BadMessage], None] | None = None, listener: Any = None,
                  turn: int = 0, due: Callable[[Head, float], float] | None = None,
-                 silent_close: float | None = None, evicts: bool = False) -> None:
+                 silent_close: float | None = None, evicts: bool = False, crowd: int = 0) -> None:
         self.handler, self.limits = handler, limits or Limits()
         self.idle_close, self.piece_timeout, self.most = idle_close, piece_timeout, most
         self.on_error = on_error or (lambda bad: None)
         self.on_bad = on_bad or (lambda bad: None)
         self.open: dict[Connection, Any] = {}
         self.silent_close, self.evicts = idle_close if silent_close is None else silent_close, evicts
+        self.crowd = crowd
         self.idle: dict[Connection, None] = {}      # between two requests, the longest first
         self.silent: dict[Connection, None] = {}    # before their first one
         self.stopping = self.leaving = False
@@ -324,6 +325,10 @@
         conn.wire.close()
         return True
 
+    def crowded(self) -> bool:
+        """Must a connection end with its answer? Its client is told, and sends nothing more on it."""
+        return self.leaving or 0 < self.crowd <= len(self.open)
+
     def busy(self) -> bool:
         """Is a request being read, worked on or answered?"""
         return len(self.open) > len(self.idle) + len(self.silent)
--- a/fawnspool/relay/program.py
+++ b/fawnspool/relay/program.py
@@ -20,6 +20,7 @@
 from fawnspool.telemetry.sums import Sums
 
 OWN_FILES = 32          # descriptors that are neither a client's nor a shelf's: loop, log, discovery, spare
+CROWD = 4               # clients hold a third of the descriptors at most (DAYS, Score): at a fourth there is still room
 IDLE_SHARE = 0.8        # of the time after which shelfs close an idle connection: a request must not cross that
 # PROTOCOL, Figures: after SIGTERM new connections come for 0.4 s at most, kept ones are used as long as they stay open,
 # and SIGKILL comes after the longest deadline, counted as 3 s at most, and 0.7 s more.
@@ -44,7 +45,7 @@
                          Sums(), self.log)
         self.discovery = self.core.list = Discovery(config.discovery, config.zones, config.kinds, self.core.loop.tell,
                                                     self.log)
-        self.front = Front(self.core, s, config.listen, max(4, room - room // 3))
+        self.front = Front(self.core, s, config.listen, max(4, room - room // 3), max(2, config.sockets // CROWD))
         self.ended = Event()
         self.teller: Any = None
 
@@ -102,6 +103,7 @@
         told, server = time.monotonic(), self.front.server
         kill = told + MORE_S + min(COUNTED_S, max(c.deadline for c in self.config.settings.classes))
         self.front.until = kill - SPARE_S
+        server.crowd = 0            # new connections end soon: from now on every kept one is needed
         close = self.front.until - LAST_S
         self.log.info("ending", in_hand=len(self.front.open), connections=len(server.open))
         while (now := time.monotonic()) < close and (now < told + 2 * NEW_S or server.open):
--- a/tests/e2e/test_relay.py
+++ b/tests/e2e/test_relay.py
@@ -145,6 +145,24 @@
         rig.stop()
 
 
+def test_answers_end_their_connections_while_it_is_crowded(tmp_path: Path) -> None:
+    """Clients that ask once and stay would leave the others no connection to ask on."""
+    rig = RelayRig(tmp_path, sockets=64)
+    try:
+        crowd = rig.program.front.server.crowd
+        for k in range(3 * crowd):
+            c = rig.client()            # it never closes
+            assert c.ask("GET", "/read", **headers(f"r{k}")).status == 200
+            assert len(rig.program.front.server.open) <= crowd + 1
+        assert c.sock.recv(1) == b""
+        rig.program.front.server.crowd = 0
+        c = rig.client()
+        for k in range(2):
+            assert c.ask("GET", "/read", **headers(f"k{k}")).status == 200
+    finally:
+        rig.stop()
+
+
 SPOILT = {
     "noise": b"\x7f\x00garbage garbage\r\n\r\n", "endless head": b"HTTP/1.1 200 OK\r\n" + b"X-A: b\r\n" * 5000,
     "two lengths": b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\nabcd",
