Write up the live head; drop older idle connections with one that broke

Change: a kept connection that breaks before a byte of an answer takes those that lay longer with it.

--- a/fawnspool/head/attempts.py
+++ b/fawnspool/head/attempts.py
@@ -38,6 +38,9 @@
         """How an attempt ended whose answer came whole."""
 
 
+_AT_ONCE = frozenset((Ending.RESET, Ending.CLOSED, Ending.UNWRITTEN_RESET))     # before any byte of an answer
+
+
 class _Lost(Exception):
     """The attempt is over; the ending says how."""
 
@@ -83,6 +86,8 @@
     except _Lost as lost:
         ending = lost.ending
         done = link is not None and not attempt.sent
+        if link is not None and not link.fresh and ending in _AT_ONCE:
+            pool.drop_older(link)
     finally:
         attempt.link = None
         if link is not None:
--- a/fawnspool/net/client.py
+++ b/fawnspool/net/client.py
@@ -152,6 +152,11 @@
             self.idle.remove(link)
             self.drop(link)
 
+    def drop_older(self, broken: Link) -> None:
+        """A kept link broke at its next request: those that have lain longer are not to be trusted either."""
+        while self.idle and self.idle[0].used <= broken.used:
+            self.drop(self.idle.popleft())
+
     def close_idle(self) -> None:
         while self.idle:
             self.drop(self.idle.pop())
