--- a/fawnspool/relay/program.py
+++ b/fawnspool/relay/program.py
@@ -27,7 +27,7 @@
 NEW_S, COUNTED_S, MORE_S = 0.4, 3.0, 0.7
 SPARE_S = 0.3           # all is answered so long before SIGKILL may come
 LAST_S = 0.2            # what comes last has so long for its answer
-TELL_S = 1.0            # between two lines of state in the log
+TELL_S = 5.0            # between two lines of state in the log
 _STEP = 0.02
 
 
