Mend three defects that a reading found: a watch lost for good, numbers, a second SIGTERM

Observed, each by a test that failed before the change: (1) a line of a watch nested 200,000 deep raises RecursionError, which relay/discovery.py take() lets through and head/listlink.py _watch() did not catch: the greenlet died, the module heard of no failure and never asked again. (2) relay/discovery.py _read() gave a number before it had read dial, so entries that don't read left one each in the name map. (3) program.py drain() ran anew on a second SIGTERM and moved the time by which all is answered; after SIGHUP it reckoned with the new file's deadlines though the module holds the old settings. Changes: RecursionError is a failed watch (and an unreadable configuration); the number is given last; a second signal does nothing; SIGHUP replaces the address of discovery alone. Also shown by tests now, right before as after: answers cut short, a shelf that is down, a client that leaves, chunks over 64 KiB, unreadable lines and entries.

--- a/fawnspool/head/listlink.py
+++ b/fawnspool/head/listlink.py
@@ -15,7 +15,8 @@
 from fawnspool.net.http import BadMessage, request_bytes
 
 LINE_MOST = 4 << 20     # bytes of one line of a watch
-_BAD = (NotReached, Broken, BadMessage, TimeoutError, ValueError)
+# RecursionError: JSON of endless depth. What is caught here is told to the module, which asks again.
+_BAD = (NotReached, Broken, BadMessage, TimeoutError, ValueError, RecursionError)
 
 
 class ListLink:
--- a/fawnspool/relay/config.py
+++ b/fawnspool/relay/config.py
@@ -37,7 +37,7 @@
         tree = json.loads(Path(path).read_text(encoding="utf-8"))
     except OSError as bad:
         raise ConfigError(f"{path}: {bad.strerror}; RELAY_CONFIG names the configuration") from None
-    except ValueError as bad:
+    except (ValueError, RecursionError) as bad:
         raise ConfigError(f"{path}: not JSON: {bad}") from None
     if not isinstance(tree, dict):
         raise ConfigError(f"{path}: expected an object")
--- a/fawnspool/relay/discovery.py
+++ b/fawnspool/relay/discovery.py
@@ -110,15 +110,16 @@
             float(row.get("born_ms", 0))
         if not math.isfinite(share + born):
             raise ValueError("share and born_ms: expected numbers")
+        shelf = Shelf(name, (host, int(port)), phase, cell)
+        zone, made = row.get("site"), row.get("class")
         node = self.numbers.get(name)
-        if node is None:
+        if node is None:            # it reads whole, so a number is not given in vain
             self.last += 1
             node = self.numbers[name] = self.last
-        zone, made = row.get("site"), row.get("class")
         return i.ListEntry(
             node, self.zones.index(zone) if zone in self.zones else 0,
             self.kinds.index(made) if made in self.kinds else 0, cell, phase, share,
-            max(0.0, born / 1000 - lag) if born > 0 else 0.0), Shelf(name, (host, int(port)), phase, cell)
+            max(0.0, born / 1000 - lag) if born > 0 else 0.0), shelf
 
 
 def _version(told: Mapping[str, Any]) -> int:
--- a/fawnspool/relay/program.py
+++ b/fawnspool/relay/program.py
@@ -2,9 +2,11 @@
 from __future__ import annotations
 
 import gc
+import math
 import signal
 import time
 from collections.abc import Mapping
+from dataclasses import replace
 from typing import Any
 
 import gevent
@@ -96,11 +98,13 @@
             return
         if new.discovery != self.config.discovery:
             self.discovery.move(new.discovery)
-        self.config = new
+            self.config = replace(self.config, discovery=new.discovery)
 
     def drain(self) -> None:
         """SIGTERM: go on serving the clients that still come, as nobody else has what their volumes need, until the
         time that the platform leaves is nearly over; then let them go, answer what is in hand, and end."""
+        if self.front.until < math.inf:
+            return              # told before: a second signal gives no more time
         told, server = time.monotonic(), self.front.server
         kill = told + MORE_S + min(COUNTED_S, max(c.deadline for c in self.config.settings.classes))
         self.front.until = kill - SPARE_S
--- a/fawnspool/standins/platform.py
+++ b/fawnspool/standins/platform.py
@@ -47,6 +47,7 @@
     script: Script | None = None
     hold: Event = field(default_factory=Event)
     cuts_kept: bool = False             # resets a connection at its second request
+    ends: bool = False                  # closes the connection behind a script's bytes
     asked: list[Asked] = field(default_factory=list)
 
     def __post_init__(self) -> None:
@@ -74,6 +75,7 @@
             return exchange.respond(200, self.report, asked.made())
         exchange.answered = True
         exchange.conn.send(raw)
+        exchange.conn.closing |= self.ends
 
 
 class DiscoveryServer:
@@ -82,7 +84,7 @@
     def __init__(self) -> None:
         self.rows: dict[str, dict[str, Any]] = {}
         self.seq, self.down = 1, False
-        self.watchers: set[Queue[dict[str, Any]]] = set()
+        self.watchers: set[Queue[Any]] = set()          # what is put there as bytes goes out as it is
         self.calls: list[str] = []
         self.server = Server(("127.0.0.1", 0), self._answer)
         self.server.start()
@@ -116,13 +118,13 @@
             raise BadMessage(404, "no such place")
         if "stream=1" not in target:
             return exchange.respond(200, [], json.dumps(self.whole()).encode())
-        queue: Queue[dict[str, Any]] = Queue()
+        queue: Queue[Any] = Queue()
         self.watchers.add(queue)
         try:
             exchange.begin(200, [], None)
-            told: dict[str, Any] | None = self.whole()
+            told: Any = self.whole()
             while not self.down:
-                line = (json.dumps(told) if told else "").encode() + b"\n"
+                line = (told if isinstance(told, bytes) else json.dumps(told).encode() if told else b"") + b"\n"
                 exchange.write(b"%x\r\n%s\r\n" % (len(line), line), time.monotonic() + BEAT_S)
                 try:
                     told = queue.get(timeout=BEAT_S)
--- a/tests/e2e/test_relay.py
+++ b/tests/e2e/test_relay.py
@@ -80,9 +80,16 @@
 @pytest.mark.parametrize("case", BAD)
 def test_what_does_not_read_is_answered_and_goes_no_further(rig: RelayRig, case: str) -> None:
     target, change = BAD[case]
+    told, handle = list[i.Request](), rig.core.loop.module.handle
+
+    def listen(now: float, event: Any) -> Any:
+        told.extend([event] if isinstance(event, i.Request) else [])
+        return handle(now, event)
+
+    rig.core.loop.module.handle = listen
     got = rig.client().ask("GET", target, **headers("r1") | change)
     assert 400 <= got.status < 500
-    assert rig.asked() == [] and rig.core.metrics.module_events < 20
+    assert rig.asked() == [] and told == []
     assert rig.client().ask("GET", "/read", **headers("r2")).status == 200
 
 
@@ -91,6 +98,8 @@
     "two lengths": text("/read", headers("r1") | {"Content-Length": "4", "content-length": "5"}) + b"abcd",
     "negative": text("/read", headers("r1") | {"Content-Length": "-4"}),
     "huge": text("/read", headers("r1") | {"Content-Length": str(60 << 20)}) + b"x" * 100_000,
+    "chunks over 64 KiB": text("/read", headers("r1") | {"Transfer-Encoding": "chunked"}) +
+                          b"ffff\r\n" + b"x" * 65535 + b"\r\nff\r\n" + b"x" * 255 + b"\r\n",
     "noise": b"\x00\xff\x13 nothing\r\n\r\n",
     "endless head": b"GET /read HTTP/1.1\r\nHost: h\r\n" + b"X-A: " + b"a" * 20_000,
     "many fields": b"GET /read HTTP/1.1\r\n" + b"X-A: 1\r\n" * 200}
@@ -190,6 +199,33 @@
     return b"HTTP/1.1 200 OK\r\n" + more + b"Content-Length: %d\r\n\r\n" % len(asked.made()) + asked.made()
 
 
+def test_an_answer_cut_short_is_never_passed_on(rig: RelayRig) -> None:
+    seen, shelf = outcomes(rig), rig.shelfs[0]
+    shelf.ends = True
+    shelf.script = lambda asked: plain(asked)[:-3] if len(shelf.asked) == 1 else None
+    got: Any = rig.client().ask("GET", "/read", **headers("r1"))
+    assert (got.status, got.data) == (200, b"r1 GET /read")
+    assert [o.result for o in seen] == [i.Result.BROKEN, i.Result.SERVED]
+
+
+def test_a_shelf_that_is_down_was_never_reached(rig: RelayRig) -> None:
+    seen = outcomes(rig)
+    rig.shelfs[0].server.stop()
+    assert rig.client().ask("GET", "/read", **headers("r1")).status == 503
+    assert seen and {(o.result, o.kept) for o in seen} == {(i.Result.UNREACHED, False)}
+
+
+def test_a_client_that_leaves_ends_its_attempt(rig: RelayRig) -> None:
+    seen, shelf = outcomes(rig), rig.shelfs[0]
+    shelf.hold.clear()
+    sock = rig.raw(text("/read", headers("r1")))
+    wait_for(lambda: rig.asked() == ["r1"])
+    sock.close()
+    wait_for(lambda: [o.result for o in seen] == [i.Result.CANCELLED])
+    wait_for(lambda: not rig.core.pending and not rig.program.front.open)
+    assert all(conn.wire.peer_left() for conn in shelf.server.open)     # its shelf is told by the end of the connection
+
+
 SURPLUS = {
     "noise": lambda a: plain(a) + b"\x00noise", "twice": lambda a: plain(a) + plain(a),
     "early": lambda a: b"HTTP/1.1 102 Processing\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n" + plain(a),
@@ -345,6 +381,37 @@
     other.server.stop()
 
 
+@pytest.mark.parametrize("line", [b"not JSON", b"[" * 200_000, b'{"seq": 9, "hosts": 7}', b'{"seq": "x"}', b"[]"])
+def test_a_line_of_a_watch_that_does_not_read_is_a_failed_watch(rig: RelayRig, line: bytes) -> None:
+    before = len(rig.discovery.calls)
+    for queue in list(rig.discovery.watchers):
+        queue.put(line)
+    wait_for(lambda: len(rig.discovery.calls) > before)         # the module was told, and asks again
+    assert rig.client().ask("GET", "/read", **headers("r1")).status == 200
+
+
+def test_entries_that_do_not_read_are_left_out_and_leave_no_number(rig: RelayRig) -> None:
+    row, discovery = rig.discovery.rows["s-0"], rig.program.discovery
+    numbers = dict(discovery.numbers)
+    for change in ({"dial": "nowhere"}, {"health": "odd"}, {"block": "x"}, {"born_ms": "soon"}):
+        rig.discovery.change(row | {"host": f"bad-{len(change)}-{next(iter(change))}"} | change)
+    wait_for(lambda: discovery.version == rig.discovery.seq)
+    assert discovery.numbers == numbers and len(discovery.nodes) == 2
+
+
+def test_a_second_sigterm_gives_no_more_time_and_sighup_changes_discovery_alone(rig: RelayRig) -> None:
+    ending = gevent.spawn(rig.program.drain)
+    wait_for(lambda: rig.program.front.until < math.inf)
+    until = rig.program.front.until
+    rig.settings = rig.settings | {"classes": [c | {"deadline": 9.0} for c in SETTINGS["classes"]]}
+    rig.write(rig.discovery)
+    rig.program.reload()
+    again = gevent.spawn(rig.program.drain)
+    gevent.joinall([ending, again], timeout=10)
+    assert ending.ready() and again.ready() and rig.program.front.until == until
+    assert rig.program.config.settings.classes[0].deadline == 2.0
+
+
 def test_a_head_that_is_told_to_end_serves_on_and_answers_all(rig: RelayRig) -> None:
     """Kept connections are used as long as they stay open; all is answered before the platform may kill the head."""
     kept = rig.client()
