Move decisions on connections out of the I/O into a module of their own

Cause: whose connection makes room, from when answers end theirs, how descriptors are dealt out and when a head that was told to go lets clients go stood in net/server.py, relay/front.py and relay/program.py with their figures. Change: fawnspool/connections/decide.py, no I/O and no clock, each with what it guards and when it could harm; the floors above ask it. No figure changed.

--- /dev/null
+++ b/fawnspool/connections/decide.py
@@ -0,0 +1,76 @@
+"""What a live head decides of its connections. No I/O, no clock: counts and times in seconds come from the caller.
+
+Guards the descriptors, which are few, and clients, who may hold a part of them and no more. Requests are none of its
+business: those are `control.py`'s.
+"""
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import Enum
+
+OWN_FILES = 32          # descriptors that are neither a client's nor a node's: loop, log, list service, spare
+NODES_PART = 3          # one of so many parts of the rest is the nodes'
+NODE_LEAST = 4          # connections that a node may always have
+CROWD_PART = 4          # clients hold a third of all at most: at a fourth there is still room for others
+IDLE_SHARE = 0.8        # of the time after which nodes close an idle connection: a request must not cross that
+QUIET = 2.2             # rude clients are owed a close within 3 s; without a request 2 s are owed to any
+KEPT = 4.0              # usual clients come back to a connection that has carried a request
+SPARE = 0.3             # before it may be killed a head has answered all for so long
+LAST = 0.2              # what comes last has so long for its answer
+
+
+@dataclass(frozen=True)
+class Places:
+    """Connections at most: of clients, to one node, and of clients from which an answer ends its own."""
+
+    clients: int
+    node: int
+    crowd: int
+
+
+def places(descriptors: int, cells: int) -> Places:
+    """How a limit of descriptors is dealt out. Harm where nodes are few: a node's places bind before the module's."""
+    room = max(2 * NODE_LEAST, descriptors - OWN_FILES)
+    nodes = room // NODES_PART
+    return Places(max(NODE_LEAST, room - nodes), max(NODE_LEAST, nodes // max(1, cells)),
+                  max(2, descriptors // CROWD_PART))
+
+
+def crowded(open_now: int, crowd: int) -> bool:
+    """Must a connection end with its answer? Guards clients against those that ask once and stay. Harm: those that
+    would have come back connect again. crowd 0: never."""
+    return 0 < crowd <= open_now
+
+
+class Kind(Enum):
+    """A client's connection without a request: between two, or before its first."""
+
+    KEPT = "kept"
+    SILENT = "silent"
+
+
+def makes_room(kept: int, silent: int) -> Kind | None:
+    """Of which kind the one that has waited longest goes when all places are taken; None: none waits. The more
+    numerous kind: a flood of either must not drive out the other. Harm: a slow client's first request."""
+    if not kept + silent:
+        return None
+    return Kind.SILENT if silent >= kept else Kind.KEPT
+
+
+@dataclass(frozen=True)
+class Ending:
+    """The end of a head that was told to go, on the caller's clock: it may go unused from `unused` on, lets clients go
+    at `close`, has answered all by `answered` and is gone by `gone`."""
+
+    unused: float
+    close: float
+    answered: float
+    gone: float
+
+
+def ending(told: float, new_for: float, killed_after: float) -> Ending:
+    """new_for: how long new connections may still come; killed_after: when it may be killed at the earliest. It serves
+    as long as it may, as nobody takes its place before. Harm: a machine that stands still for over SPARE."""
+    kill = told + killed_after
+    answered = max(told, kill - SPARE)
+    return Ending(told + 2 * new_for, max(told, answered - LAST), answered, max(told, kill - SPARE / 2))
--- a/fawnspool/net/server.py
+++ b/fawnspool/net/server.py
@@ -16,6 +16,7 @@
 import gevent
 from gevent import socket
 
+from fawnspool.connections.decide import Kind, crowded, makes_room
 from fawnspool.net.http import END, BadMessage, Head, Limits, RequestParser, head_bytes
 from fawnspool.net.wire import SO_TIMESTAMPNS, Turnstile, Wire
 
@@ -67,7 +68,7 @@
         self.answered = True
         if not self.read_all and not self._rest_is_here():
             close = True
-        close = close or not self.head.keep_alive or self.conn.server.crowded()
+        close = close or not self.head.keep_alive or self.conn.server.last_answer()
         head = head_bytes(status, headers, len(body), close)
         bare = self.head.method == b"HEAD" or status in (204, 304)
         self.conn.closing |= close
@@ -315,19 +316,20 @@
             self.open[conn] = gevent.spawn(self._run, conn)
 
     def _evict(self) -> bool:
-        """Close the connection that has waited longest, of the kind that is more numerous; False: none waits."""
-        waiting = self.silent if len(self.silent) >= len(self.idle) else self.idle
-        if not waiting:
+        """Close the connection that has waited longest, of the kind that makes room; False: none waits."""
+        kind = makes_room(len(self.idle), len(self.silent))
+        if kind is None:
             return False
+        waiting = self.silent if kind is Kind.SILENT else self.idle
         conn = next(iter(waiting))
         del waiting[conn]
         self.open.pop(conn, None)
         conn.wire.close()
         return True
 
-    def crowded(self) -> bool:
+    def last_answer(self) -> bool:
         """Must a connection end with its answer? Its client is told, and sends nothing more on it."""
-        return self.leaving or 0 < self.crowd <= len(self.open)
+        return self.leaving or crowded(len(self.open), self.crowd)
 
     def busy(self) -> bool:
         """Is a request being read, worked on or answered?"""
--- a/fawnspool/relay/front.py
+++ b/fawnspool/relay/front.py
@@ -10,6 +10,7 @@
 import re
 import time
 
+from fawnspool.connections.decide import KEPT, QUIET, Places
 from fawnspool.head.core import Core
 from fawnspool.head.pending import Body, Kind, Pending
 from fawnspool.interface import Effect, Request, Settings
@@ -21,8 +22,6 @@
 HEALTH = b"/_health"
 HEAD_BYTES, HEAD_FIELDS = 8192, 40
 TURN = 16               # requests begun in one turn of the loop, at most
-QUIET_S = 2.2           # a connection may be closed after 2 s without an open request; rude ones within 3 s
-KEPT_S = 4.0            # one that has carried a request is kept longer: usual clients come back to it
 _TEXT = (b"Content-Type", b"text/plain")
 _IDENT = re.compile(rb"[!-~]{1,128}")
 _OBJECT = re.compile(rb"[0-9a-fA-F]{1,16}")
@@ -31,19 +30,17 @@
 
 
 class Front:
-    """Serves the platform's clients on `listen`, with at most `most` connections; from `crowd` on an answer ends its
-    own. Guards clients, who may hold so many and no more, against those that ask once and stay. Harm: those that
-    would have come back connect again."""
+    """Serves the platform's clients on `listen`."""
 
-    def __init__(self, core: Core, settings: Settings, listen: tuple[str, int], most: int, crowd: int) -> None:
+    def __init__(self, core: Core, settings: Settings, listen: tuple[str, int], places: Places) -> None:
         self.core, self.settings = core, settings
         self.classes = {c.name.encode(): k for k, c in enumerate(settings.classes)}
         self.plans = {p.name.encode(): k for k, p in enumerate(settings.plans)}
         self.open: dict[bytes, Pending] = {}        # by the client's id: one that is open is not taken twice
         self.until = math.inf                       # all answers have left by then (monotonic)
-        self.server = Server(listen, self.handle, limits=Limits(HEAD_BYTES, HEAD_FIELDS), idle_close=KEPT_S,
-                             silent_close=QUIET_S, piece_timeout=QUIET_S, most=most, on_error=self._error,
-                             on_bad=self._bad, turn=TURN, due=self._due, evicts=True, crowd=crowd)
+        self.server = Server(listen, self.handle, limits=Limits(HEAD_BYTES, HEAD_FIELDS), idle_close=KEPT,
+                             silent_close=QUIET, piece_timeout=QUIET, most=places.clients, on_error=self._error,
+                             on_bad=self._bad, turn=TURN, due=self._due, evicts=True, crowd=places.crowd)
 
     def start(self) -> None:
         self.server.start()
@@ -63,7 +60,7 @@
     def _due(self, head: MessageHead, came: float) -> float:
         """Until when a request is worth a turn: roughly, as nothing of it has been checked yet."""
         raw = head.headers.get(b"request-timeout-ms", b"")
-        return came + (int(raw) / 1000 if _COUNT.fullmatch(raw) else QUIET_S)
+        return came + (int(raw) / 1000 if _COUNT.fullmatch(raw) else QUIET)
 
     # ------------------------------------------------------------ one request
 
--- a/fawnspool/relay/program.py
+++ b/fawnspool/relay/program.py
@@ -12,6 +12,7 @@
 import gevent
 from gevent.event import Event
 
+from fawnspool.connections.decide import IDLE_SHARE, ending, places
 from fawnspool.control import Controller
 from fawnspool.head.core import Core, PoolBounds
 from fawnspool.relay.config import ConfigError, RelayConfig, load
@@ -21,14 +22,9 @@
 from fawnspool.telemetry import logs
 from fawnspool.telemetry.sums import Sums
 
-OWN_FILES = 32          # descriptors that are neither a client's nor a shelf's: loop, log, discovery, spare
-CROWD = 4               # clients hold a third of the descriptors at most (DAYS, Score): at a fourth there is still room
-IDLE_SHARE = 0.8        # of the time after which shelfs close an idle connection: a request must not cross that
 # PROTOCOL, Figures: after SIGTERM new connections come for 0.4 s at most, kept ones are used as long as they stay open,
 # and SIGKILL comes after the longest deadline, counted as 3 s at most, and 0.7 s more.
 NEW_S, COUNTED_S, MORE_S = 0.4, 3.0, 0.7
-SPARE_S = 0.3           # all is answered so long before SIGKILL may come
-LAST_S = 0.2            # what comes last has so long for its answer
 TELL_S = 5.0            # between two lines of state in the log
 _STEP = 0.02
 
@@ -40,14 +36,13 @@
         self.config, self.path, self.environ = config, path, environ
         self.log = logs.get(head=config.name)
         s = config.settings
-        room = max(8, config.sockets - OWN_FILES)
-        per_node = max(4, room // 3 // max(1, s.cells))
+        bounds = places(config.sockets, s.cells)
         self.core = Core(s, Controller(s, config.seed), ShelfSpeech(s),
-                         PoolBounds(per_node, s.connect_timeout or 0.25, IDLE_SHARE * config.idle_close, lenient=True),
-                         Sums(), self.log)
+                         PoolBounds(bounds.node, s.connect_timeout or 0.25, IDLE_SHARE * config.idle_close,
+                                    lenient=True), Sums(), self.log)
         self.discovery = self.core.list = Discovery(config.discovery, config.zones, config.kinds, self.core.loop.tell,
                                                     self.log)
-        self.front = Front(self.core, s, config.listen, max(4, room - room // 3), max(2, config.sockets // CROWD))
+        self.front = Front(self.core, s, config.listen, bounds)
         self.ended = Event()
         self.teller: Any = None
 
@@ -106,18 +101,17 @@
         if self.front.until < math.inf:
             return              # told before: a second signal gives no more time
         told, server = time.monotonic(), self.front.server
-        kill = told + MORE_S + min(COUNTED_S, max(c.deadline for c in self.config.settings.classes))
-        self.front.until = kill - SPARE_S
+        end = ending(told, NEW_S, MORE_S + min(COUNTED_S, max(c.deadline for c in self.config.settings.classes)))
+        self.front.until = end.answered
         server.crowd = 0            # new connections end soon: from now on every kept one is needed
-        close = self.front.until - LAST_S
         self.log.info("ending", in_hand=len(self.front.open), connections=len(server.open))
-        while (now := time.monotonic()) < close and (now < told + 2 * NEW_S or server.open):
+        while (now := time.monotonic()) < end.close and (now < end.unused or server.open):
             gevent.sleep(_STEP)
         server.closing_down()
-        while time.monotonic() < self.front.until and (self.front.open or server.busy()):
+        while time.monotonic() < end.answered and (self.front.open or server.busy()):
             gevent.sleep(_STEP)
         self.front.end_all()
-        while time.monotonic() < kill - SPARE_S / 2 and server.busy():
+        while time.monotonic() < end.gone and server.busy():
             gevent.sleep(_STEP)
         self.log.info("ended", after_s=round(time.monotonic() - told, 2), in_hand=len(self.front.open))
         self.ended.set()
