Hold a head's own lack of connections or descriptors against no node

Change: NoPlace, an exception of its own; the ending is MOOT, never sent. Idle connections to nodes that are leaving go too, as nothing new is sent there. Two classes were named Told; the one of attempts is Heard. Test: a head without a place left holds nothing against the shelf.

--- a/fawnspool/head/attempts.py
+++ b/fawnspool/head/attempts.py
@@ -8,13 +8,13 @@
 
 from fawnspool.head.endings import Ending
 from fawnspool.head.pending import Answer, Attempt, Pending
-from fawnspool.net.client import Broken, Link, NotReached, Pool
+from fawnspool.net.client import Broken, Link, NoPlace, NotReached, Pool
 from fawnspool.net.http import BadMessage, Status
 from fawnspool.net.server import ClientLeft
 
 
 @dataclass(slots=True)
-class Told:
+class Heard:
     """What an answer tells of its node. used: the volume's whole use as a share of its rate; None: no figure."""
 
     others: int = 0
@@ -31,7 +31,7 @@
     def head(self, pending: Pending, attempt: Attempt) -> bytes:
         """The head of the request to the node."""
 
-    def told(self, pending: Pending, status: Status) -> Told:
+    def told(self, pending: Pending, status: Status) -> Heard:
         """What the answer's headers tell. Raises ValueError where that spoils the answer."""
 
     def ending(self, status: Status) -> Ending:
@@ -54,7 +54,7 @@
 
     __slots__ = ("answer", "ending", "kept", "told", "took")
 
-    def __init__(self, ending: Ending, took: float, answer: Answer | None = None, told: Told | None = None,
+    def __init__(self, ending: Ending, took: float, answer: Answer | None = None, told: Heard | None = None,
                  kept: bool = False) -> None:
         self.ending, self.took, self.answer, self.told, self.kept = ending, took, answer, told, kept
 
@@ -105,10 +105,9 @@
     except NotReached as bad:
         if attempt.called_off:
             raise _Lost(Ending.CALLED_OFF_UNSENT) from None
-        text = str(bad)
-        if "in use" in text:
+        if isinstance(bad, NoPlace):
             raise _Lost(Ending.NO_PLACE) from None
-        raise _Lost(Ending.CONNECT_TIMEOUT if "timed out" in text else Ending.REFUSED) from None
+        raise _Lost(Ending.CONNECT_TIMEOUT if "timed out" in str(bad) else Ending.REFUSED) from None
 
 
 def _write(pending: Pending, attempt: Attempt, link: Link, speech: Speech) -> None:
--- a/fawnspool/head/core.py
+++ b/fawnspool/head/core.py
@@ -115,7 +115,7 @@
         that went would keep its idle ones for ever. It looks at a few pools a sweep, in turn."""
         if not self.to_prune:
             self.to_prune = list(self.pools)
-        listed = {known.address for known in self.list.nodes.values()}
+        listed = {known.address for known in self.list.nodes.values() if known.phase is i.Phase.READY}
         for where in [self.to_prune.pop() for _ in range(min(_PRUNED, len(self.to_prune)))]:
             pool = self.pools.get(where)
             if pool is None:
--- a/fawnspool/head/endings.py
+++ b/fawnspool/head/endings.py
@@ -19,7 +19,7 @@
     TURNED_AWAY = "turned away unseen: full or draining"
     REFUSED = "connection refused or out of reach"
     CONNECT_TIMEOUT = "no connection in time"
-    NO_PLACE = "all connections to the node are in use"
+    NO_PLACE = "this head has no connection or descriptor left for it"
     UNWRITTEN_RESET = "reset before the request was wholly written"
     UNWRITTEN_TIMEOUT = "time ran out before the request was wholly written"
     RESET = "reset after the request was written"
@@ -44,7 +44,7 @@
     Ending.TURNED_AWAY: Result.FULL,
     Ending.REFUSED: Result.UNREACHED,
     Ending.CONNECT_TIMEOUT: Result.UNREACHED,
-    Ending.NO_PLACE: Result.UNREACHED,
+    Ending.NO_PLACE: Result.MOOT,
     Ending.UNWRITTEN_RESET: Result.UNREACHED,
     Ending.UNWRITTEN_TIMEOUT: Result.UNREACHED,
     Ending.RESET: Result.BROKEN,
--- a/fawnspool/head/nodespeech.py
+++ b/fawnspool/head/nodespeech.py
@@ -3,7 +3,7 @@
 
 import time
 
-from fawnspool.head.attempts import Told
+from fawnspool.head.attempts import Heard
 from fawnspool.head.endings import Ending
 from fawnspool.head.pending import Attempt, Pending
 from fawnspool.interface import Settings
@@ -30,12 +30,12 @@
         return request_bytes(pending.method, pending.target, b"node", [(CALL, call.pack()), *pending.forward],
                              pending.body.length)
 
-    def told(self, pending: Pending, status: Status) -> Told:
+    def told(self, pending: Pending, status: Status) -> Heard:
         told, used = read_told(status.headers.get(TOLD)), None
         if told.use is not None:
             rate = self.settings.plans[pending.req.plan].rate
             used = told.use / rate if rate > 0 else None
-        return Told(told.others, used, told.load)
+        return Heard(told.others, used, told.load)
 
     def ending(self, status: Status) -> Ending:
         if status.code == 503 and read_told(status.headers.get(TOLD)).full:
--- a/fawnspool/net/client.py
+++ b/fawnspool/net/client.py
@@ -1,6 +1,7 @@
 """Connections to a server, kept alive and pooled: connect, send, read, each within a deadline."""
 from __future__ import annotations
 
+import errno
 import time
 from collections import deque
 from collections.abc import Callable
@@ -17,6 +18,10 @@
     """No connection could be made in time: nothing was sent."""
 
 
+class NoPlace(NotReached):
+    """This side has no connection left to give, or no descriptor: it says nothing of the other."""
+
+
 class Broken(Exception):
     """The connection ended before the answer was whole. `written`: was the whole request handed over?"""
 
@@ -121,12 +126,14 @@
                 return link
             self.drop(link)
         if self.open >= self.most:
-            raise NotReached(f"all {self.most} connections are in use")
+            raise NoPlace(f"all {self.most} connections are in use")
         self.open += 1
         try:
             wire = connect(self.address, min(deadline, time.monotonic() + self.connect_timeout))
         except BaseException as bad:
             self.open -= 1
+            if isinstance(bad, OSError) and bad.errno in (errno.EMFILE, errno.ENFILE):
+                raise NoPlace("no descriptor is left") from None
             if isinstance(bad, OSError):
                 raise NotReached(str(bad) or type(bad).__name__) from None
             raise
--- a/fawnspool/relay/shelfs.py
+++ b/fawnspool/relay/shelfs.py
@@ -4,7 +4,7 @@
 import math
 import time
 
-from fawnspool.head.attempts import Told
+from fawnspool.head.attempts import Heard
 from fawnspool.head.endings import Ending
 from fawnspool.head.pending import Attempt, Pending
 from fawnspool.interface import Settings
@@ -29,10 +29,10 @@
         return request_bytes(pending.method, pending.target, b"shelf", [
             *pending.forward, (b"Request-Timeout-Ms", b"%d" % left)], pending.body.length)
 
-    def told(self, pending: Pending, status: Status) -> Told:
+    def told(self, pending: Pending, status: Status) -> Heard:
         h = status.headers
         used, others = _figure(h.get(b"x-volume-use")), _figure(h.get(b"x-served-elsewhere"))
-        return Told(int(others or 0), None if used is None else used / 100, self._load(h.get(b"server-load")))
+        return Heard(int(others or 0), None if used is None else used / 100, self._load(h.get(b"server-load")))
 
     def _load(self, raw: bytes | None) -> tuple[float, ...]:
         """The report's values in the order of the settings; () where one is missing or does not read."""
--- a/tests/e2e/test_relay.py
+++ b/tests/e2e/test_relay.py
@@ -215,6 +215,13 @@
     assert seen and {(o.result, o.kept) for o in seen} == {(i.Result.UNREACHED, False)}
 
 
+def test_a_head_without_a_place_left_holds_nothing_against_the_shelf(rig: RelayRig) -> None:
+    seen = outcomes(rig)
+    rig.core.pool(rig.shelfs[0].server.address).most = 0
+    assert rig.client().ask("GET", "/read", **headers("r1")).status == 503
+    assert seen and {o.result for o in seen} == {i.Result.MOOT} and rig.core.loop.module.lanes[0].failed == 0
+
+
 def test_a_client_that_leaves_ends_its_attempt(rig: RelayRig) -> None:
     seen, shelf = outcomes(rig), rig.shelfs[0]
     shelf.hold.clear()
