--- a/fawnspool/head/core.py
+++ b/fawnspool/head/core.py
@@ -78,6 +78,7 @@
         self.pending: dict[int, Pending] = {}
         self.to_look: list[int] = []
         self.to_prune: list[tuple[str, int]] = []
+        self.listed: set[tuple[str, int]] = set()
         self.pools: dict[tuple[str, int], Pool] = {}
         self.ids = time.time_ns() // 1_000_000 << 20    # a later life's numbers are higher
         self.table: dict[type, Callable[[Any], None]] = {
@@ -113,14 +114,14 @@
     def _prune(self) -> None:
         """Connections that nobody will use again are closed. Guards the descriptors: where nodes come and go, each
         that went would keep its idle ones for ever. It looks at a few pools a sweep, in turn."""
-        if not self.to_prune:
+        if not self.to_prune:       # a round begins; who is listed is gathered once a round
             self.to_prune = list(self.pools)
-        listed = {known.address for known in self.list.nodes.values() if known.phase is i.Phase.READY}
+            self.listed = {known.address for known in self.list.nodes.values() if known.phase is i.Phase.READY}
         for where in [self.to_prune.pop() for _ in range(min(_PRUNED, len(self.to_prune)))]:
             pool = self.pools.get(where)
             if pool is None:
                 continue
-            if where in listed:
+            if where in self.listed:
                 pool.prune()
                 continue
             pool.close_idle()
--- a/tests/e2e/test_relay.py
+++ b/tests/e2e/test_relay.py
@@ -29,18 +29,22 @@
     made.stop()
 
 
-def outcomes(rig: RelayRig) -> list[i.Outcome]:
-    """Every outcome that the module is told from now on."""
-    seen, handle = list[i.Outcome](), rig.core.loop.module.handle
+def told(rig: RelayRig, kind: type[Any]) -> list[Any]:
+    """Every event of a kind that the module is told from now on."""
+    seen, handle = list[Any](), rig.core.loop.module.handle
 
     def listen(now: float, event: Any) -> Any:
-        seen.extend([event] if isinstance(event, i.Outcome) else [])
+        seen.extend([event] if isinstance(event, kind) else [])
         return handle(now, event)
 
     rig.core.loop.module.handle = listen
     return seen
 
 
+def outcomes(rig: RelayRig) -> list[i.Outcome]:
+    return told(rig, i.Outcome)
+
+
 def test_a_large_answer_passes_whole(rig: RelayRig) -> None:
     body = bytes(range(256)) * 1600
     rig.shelfs[0].script = lambda asked: b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body
@@ -80,16 +84,10 @@
 @pytest.mark.parametrize("case", BAD)
 def test_what_does_not_read_is_answered_and_goes_no_further(rig: RelayRig, case: str) -> None:
     target, change = BAD[case]
-    told, handle = list[i.Request](), rig.core.loop.module.handle
-
-    def listen(now: float, event: Any) -> Any:
-        told.extend([event] if isinstance(event, i.Request) else [])
-        return handle(now, event)
-
-    rig.core.loop.module.handle = listen
+    requests = told(rig, i.Request)
     got = rig.client().ask("GET", target, **headers("r1") | change)
     assert 400 <= got.status < 500
-    assert rig.asked() == [] and told == []
+    assert rig.asked() == [] and requests == []
     assert rig.client().ask("GET", "/read", **headers("r2")).status == 200
 
 
@@ -269,11 +267,11 @@
 
 
 def test_ever_new_ids_leave_nothing_behind(rig: RelayRig) -> None:
-    told, discovery, module = rig.discovery.whole(), rig.program.discovery, rig.core.loop.module
-    row = told["hosts"][0]
+    first, discovery, module = rig.discovery.whole(), rig.program.discovery, rig.core.loop.module
+    row = first["hosts"][0]
     for k in range(2000):
         rows = [row | {"host": f"new-{k}"}, row | {"host": f"new-{k - 1}", "health": "left"}]
-        discovery.take(json.dumps({"seq": told["seq"] + k + 1, "whole": False, "hosts": rows}).encode())
+        discovery.take(json.dumps({"seq": first["seq"] + k + 1, "whole": False, "hosts": rows}).encode())
     wait_for(lambda: not rig.core.loop.inbox)
     assert len(discovery.nodes) <= 4 and len(discovery.numbers) <= 4 and len(module.nodes) <= 4
     assert len(module.lanes) == 2
@@ -359,18 +357,11 @@
 
 
 def test_discovery_that_fails_is_asked_again_and_one_that_moves_is_followed(rig: RelayRig) -> None:
-    kinds = list[i.ListKind]()
-    handle = rig.core.loop.module.handle
-
-    def listen(now: float, event: Any) -> Any:
-        kinds.extend([event.kind] if isinstance(event, i.NodeList) else [])
-        return handle(now, event)
-
-    rig.core.loop.module.handle = listen
+    lists = told(rig, i.NodeList)
     rig.discovery.down = True
     for queue in list(rig.discovery.watchers):
         queue.put(rig.discovery.whole())
-    wait_for(lambda: i.ListKind.FAILED in kinds)
+    wait_for(lambda: i.ListKind.FAILED in [event.kind for event in lists])
     rig.discovery.down = False
     wait_for(lambda: rig.discovery.watchers)
     other = DiscoveryServer()
