Show the live head under a real limit of 64 descriptors, and its own idle close

The issue asks for a start under a small limit and for connections closed before the machine would; both were only implied. Now: the real process with RLIMIT_NOFILE 64 and 200 silent clients serves, stays within it and closes each; an idle connection to a shelf goes in this head's time.

--- a/tests/e2e/test_relay.py
+++ b/tests/e2e/test_relay.py
@@ -1,9 +1,11 @@
 """A live head on loopback: what reaches shelfs, what reaches clients, and what spoilt peers may not do."""
 from __future__ import annotations
 
+import contextlib
 import http.client
 import json
 import math
+import resource
 import signal
 import subprocess
 import sys
@@ -277,17 +279,42 @@
     assert len(module.lanes) == 2
 
 
+@contextlib.contextmanager
+def process_of(rig: RelayRig, descriptors: int = 1024) -> Iterator[subprocess.Popen[bytes]]:
+    """The real process in the place of the rig's own program, held to so many descriptors."""
+    rig.program.stop()
+    before = len(rig.discovery.calls)
+    process = subprocess.Popen(
+        [sys.executable, "-m", "fawnspool.relay"], cwd=Path(__file__).parents[2], stderr=subprocess.DEVNULL,
+        env={"RELAY_CONFIG": str(rig.path), "PATH": "/usr/bin:/bin"},
+        preexec_fn=lambda: resource.setrlimit(resource.RLIMIT_NOFILE, (descriptors, descriptors)))
+    try:
+        wait_for(lambda: len(rig.discovery.calls) > before, 30)
+        yield process
+    finally:
+        process.kill()
+        process.wait()
+        for shelf in rig.shelfs:
+            shelf.hold.set()
+            shelf.server.stop()
+        rig.discovery.server.stop()
+
+
+def test_the_process_lives_under_a_small_limit_of_descriptors(tmp_path: Path) -> None:
+    rig = RelayRig(tmp_path, sockets=64)
+    with process_of(rig, 64) as process:
+        quiet = [rig.raw(b"") for _ in range(200)]
+        assert rig.client().ask("GET", "/read", **headers("r1")).status == 200
+        assert len(list(Path(f"/proc/{process.pid}/fd").iterdir())) <= 64 and process.poll() is None
+        assert all(sock.recv(1) == b"" for sock in quiet)       # closed, each in its time
+
+
 def test_the_program_itself_heeds_its_signals(tmp_path: Path) -> None:
     """The real process: it serves, follows discovery on SIGHUP, answers all and ends on SIGTERM."""
     rig = RelayRig(tmp_path, classes=[c | {"aim": 8.0, "deadline": 9.0} for c in SETTINGS["classes"]])
-    rig.program.stop()                      # the process takes its place
-    before = len(rig.discovery.calls)
-    process = subprocess.Popen([sys.executable, "-m", "fawnspool.relay"], cwd=Path(__file__).parents[2],
-                               env={"RELAY_CONFIG": str(rig.path), "PATH": "/usr/bin:/bin"}, stderr=subprocess.PIPE)
     other = DiscoveryServer()
     other.rows, other.seq = dict(rig.discovery.rows), rig.discovery.seq
-    try:
-        wait_for(lambda: len(rig.discovery.calls) > before, 20)
+    with process_of(rig) as process:
         assert rig.client().ask("GET", "/_health").status == 200
         rig.shelfs[0].hold.clear()
         sock = rig.raw(text("/read", headers("r1", wait="8000")))
@@ -301,12 +328,7 @@
         assert sock.recv(4096).startswith(b"HTTP/1.1 200")
         wait_for(lambda: process.poll() is not None, 10)
         assert process.returncode == 0
-    finally:
-        process.kill()
-        process.wait()
-        other.server.stop()
-        for shelf in rig.shelfs:
-            shelf.server.stop()
+    other.server.stop()
 
 
 def test_a_turned_away_attempt_never_ran_and_an_error_may_have(rig: RelayRig) -> None:
@@ -353,6 +375,10 @@
     pool = rig.core.pools[rig.shelfs[1].server.address]
     rig.shelfs[1].server.reset_all()
     wait_for(lambda: pool.open == 0)
+    assert rig.client().ask("GET", "/read", **headers("r2", shard=1)).status == 200
+    wait_for(lambda: len(pool.idle) == 1)
+    pool.idle_close = 0.1                       # before the shelf would: it keeps them for a minute
+    wait_for(lambda: pool.open == 0 and not rig.shelfs[1].server.open)
     assert rig.client().ask("GET", "/read", **headers("r3", shard=1)).status == 200
 
 
