--- a/tests/e2e/test_relay.py
+++ b/tests/e2e/test_relay.py
@@ -280,12 +280,13 @@
 
 
 @contextlib.contextmanager
-def process_of(rig: RelayRig, descriptors: int = 1024) -> Iterator[subprocess.Popen[bytes]]:
+def process_of(rig: RelayRig, descriptors: int = 1024,
+               start: tuple[str, ...] = ("-m", "fawnspool.relay")) -> Iterator[subprocess.Popen[bytes]]:
     """The real process in the place of the rig's own program, held to so many descriptors."""
     rig.program.stop()
     before = len(rig.discovery.calls)
     process = subprocess.Popen(
-        [sys.executable, "-m", "fawnspool.relay"], cwd=Path(__file__).parents[2], stderr=subprocess.DEVNULL,
+        [sys.executable, *start], cwd=Path(__file__).parents[2], stderr=subprocess.DEVNULL,
         env={"RELAY_CONFIG": str(rig.path), "PATH": "/usr/bin:/bin"},
         preexec_fn=lambda: resource.setrlimit(resource.RLIMIT_NOFILE, (descriptors, descriptors)))
     try:
@@ -309,6 +310,36 @@
         assert all(sock.recv(1) == b"" for sock in quiet)       # closed, each in its time
 
 
+# The program under a hook that ends it at the first call that the platform's filter would refuse.
+WATCHED = """
+import os, socket, sys
+def hook(name, args):
+    bad = name in ("os.fork", "os.forkpty", "os.exec", "os.posix_spawn", "os.system", "subprocess.Popen") \\
+        or name == "socket.__new__" and args[1] not in (-1, socket.AF_INET)     # -1: around one that is there
+    if bad:
+        os._exit(77)
+for name in ("splice", "sendfile"):
+    setattr(os, name, lambda *a, **k: os._exit(77))
+sys.addaudithook(hook)
+from fawnspool.relay.program import main
+sys.exit(main(os.environ))
+"""
+
+
+def test_the_program_calls_nothing_that_the_platform_refuses(tmp_path: Path) -> None:
+    """No other program, no fork, no socket but TCP and UDP over IPv4, and one thread is enough."""
+    rig = RelayRig(tmp_path)
+    with process_of(rig, start=("-c", WATCHED)) as process:
+        assert rig.client().ask("GET", "/_health").status == 200
+        assert rig.client().ask("GET", "/read", **headers("r1")).status == 200
+        assert rig.client().ask("PUT", "/note", b"x", **headers("w1"), Idempotency_Key="k").status == 200
+        assert not Path(f"/proc/{process.pid}/task/{process.pid}/children").read_text().split()
+        process.send_signal(signal.SIGHUP)
+        process.send_signal(signal.SIGTERM)
+        wait_for(lambda: process.poll() is not None, 10)
+        assert process.returncode == 0
+
+
 def test_the_program_itself_heeds_its_signals(tmp_path: Path) -> None:
     """The real process: it serves, follows discovery on SIGHUP, answers all and ends on SIGTERM."""
     rig = RelayRig(tmp_path, classes=[c | {"aim": 8.0, "deadline": 9.0} for c in SETTINGS["classes"]])
--- a/tests/test_deploy.py
+++ b/tests/test_deploy.py
@@ -1,6 +1,8 @@
 """What the platform builds and starts: few packages, as pinned, and no more of the program than it needs."""
 from __future__ import annotations
 
+import os
+import stat
 import subprocess
 import sys
 import tomllib
@@ -60,3 +62,36 @@
 
     assert read_tree(SETTINGS) == read_settings("\n".join(lines("", SETTINGS)))
     assert read_tree(SETTINGS).classes[1].writes and read_tree(SETTINGS).load_fields == ("rif", "lat_ms")
+
+
+def deploy() -> dict[str, str]:
+    return tomllib.loads((ROOT / "deploy/balancer.toml").read_text())
+
+
+def test_a_build_that_was_cut_off_is_made_anew_and_a_whole_one_is_kept(tmp_path: Path) -> None:
+    """`python3` is a stand-in here that makes a `.venv` whose interpreter can start the head, and notes each call."""
+    tools, notes = tmp_path / "tools", tmp_path / "notes"
+    tools.mkdir()
+    stub = tools / "python3"
+    stub.write_text(f"""#!/bin/sh
+echo "$@" >> {notes}
+mkdir -p .venv/bin
+for name in python pip; do printf '#!/bin/sh\\nexit 0\\n' > .venv/bin/$name; chmod +x .venv/bin/$name; done
+""")
+    stub.chmod(stub.stat().st_mode | stat.S_IXUSR)
+    (tmp_path / ".venv/bin").mkdir(parents=True)        # what is left of a build that was ended in the middle
+    for _ in range(2):
+        subprocess.run(["/bin/sh", "-c", deploy()["build"]], cwd=tmp_path, check=True,
+                       env={"PATH": f"{tools}:{os.environ['PATH']}"})
+    assert notes.read_text().splitlines() == ["-m venv --clear .venv"]
+
+
+def test_run_becomes_one_process_that_is_linked_dynamically(tmp_path: Path) -> None:
+    """The bench loads a library into the process: `exec`, and an interpreter that names its loader (PT_INTERP)."""
+    word, program, *_ = deploy()["run"].split()
+    assert (word, program) == ("exec", ".venv/bin/python")
+    data = Path(sys.executable).resolve().read_bytes()
+    assert data[:5] == b"\x7fELF\x02"
+    at, size, count = (int.from_bytes(data[a:b], "little") for a, b in ((32, 40), (54, 56), (56, 58)))
+    kinds = [int.from_bytes(data[at + k * size:at + k * size + 4], "little") for k in range(count)]
+    assert 3 in kinds       # PT_INTERP
