--- a/benchmarks/extent_map.py
+++ b/benchmarks/extent_map.py
@@ -1,6 +1,7 @@
 """What the extent map costs: `python -m benchmarks.extent_map [--most N]`. One core, no sockets.
 
-Two persistent tables from the registry beside a dict: look-up, memory an extent, time and allocation of deltas.
+Two persistent tables from the registry beside a dict: look-up, memory an extent, time and allocation of deltas; the
+map on disk.
 """
 from __future__ import annotations
 
@@ -11,6 +12,7 @@
 from collections.abc import Callable
 from pathlib import Path
 from random import Random
+from tempfile import TemporaryDirectory
 from typing import Any
 
 import immutables
@@ -18,6 +20,7 @@
 
 from fawnspool.extents.facts import Delta, Fact, Stamp
 from fawnspool.extents.map import ExtentMap, shard_of
+from fawnspool.head.mapfile import read, write
 
 SHARDS = 64
 
@@ -50,6 +53,11 @@
     for n in (10_000, 100_000, 1_000_000):
         if n <= asked.most:
             tables(n)
+    print("\n| extents | file MiB | written s | read at a start s |")
+    print("| --- | --- | --- | --- |")
+    for n in (10_000, 100_000, 1_000_000):
+        if n <= asked.most:
+            kept(n)
     print("\n| extents | look-up us (dict) | find us | build s | MiB | 1 delta us, KiB | 10,000 deltas s, MiB |")
     print("| --- | --- | --- | --- | --- | --- | --- |")
     for n in (10_000, 100_000, 1_000_000):
@@ -82,20 +90,41 @@
               flush=True)
 
 
-def whole(n: int) -> None:
-    keys, random = names(n), Random(2)
-    picks = random.choices(keys, k=50_000)
-    gc.collect()
-    before = resident()
-    began = time.perf_counter()
+def made_of(keys: list[tuple[str, str]]) -> ExtentMap:
     rows: dict[int, list[Fact]] = {k: [] for k in range(SHARDS)}
     for k, (v, x) in enumerate(keys):
         rows[shard_of(v, SHARDS)].append(Fact(v, x, k % 45, Stamp(0, 1, 1)))
     m = ExtentMap.empty(SHARDS)
     for shard, facts in rows.items():
         m = m.apply(Delta(shard, 1, 0, 1, tuple(facts), whole=True))
+    return m
+
+
+def kept(n: int) -> None:
+    m = made_of(names(n))
+    with TemporaryDirectory() as folder:
+        path = Path(folder) / "map.rec"
+        began = time.perf_counter()
+        write(path, m, time.time())
+        wrote = time.perf_counter() - began
+        size = path.stat().st_size
+        del m
+        gc.collect()
+        began = time.perf_counter()
+        found = read(Path(folder)).map
+        took = time.perf_counter() - began
+    assert found is not None and len(found) == n
+    print(f"| {n:,} | {size / 2**20:.0f} | {wrote:.2f} | {took:.2f} |", flush=True)
+
+
+def whole(n: int) -> None:
+    keys, random = names(n), Random(2)
+    picks = random.choices(keys, k=50_000)
+    gc.collect()
+    before = resident()
+    began = time.perf_counter()
+    m = made_of(keys)
     built = time.perf_counter() - began
-    rows.clear()
     gc.collect()
     size = resident() - before
     plain = dict.fromkeys(keys, 1)
--- a/fawnspool/api/objects.py
+++ b/fawnspool/api/objects.py
@@ -19,8 +19,8 @@
 
 from fawnspool.config.head import HeadConfig
 from fawnspool.head.head import Head
-from fawnspool.head.locator import LocatorError
 from fawnspool.head.pending import Answer, Body, Kind, Pending
+from fawnspool.head.places import PlacesError
 from fawnspool.net.http import BadMessage, Limits
 from fawnspool.net.http import Head as MessageHead
 from fawnspool.net.nodewire import target
@@ -213,8 +213,8 @@
 
     def _find(self, volume: str, key: str, deadline: float, fresh: bool = False) -> tuple[int, int] | None:
         try:
-            return self.head.locator.find(volume, key, deadline, fresh)
-        except LocatorError as bad:
+            return self.head.places.find(volume, key, deadline, fresh)
+        except PlacesError as bad:
             raise ApiError(503, "no-catalogue", str(bad)) from None
 
     def _drain_body(self, exchange: Exchange) -> None:
@@ -226,15 +226,21 @@
         cls = self._class(exchange, self.default_read)
         deadline = self._check(exchange, cls)
         self._drain_body(exchange)
+        went, at = None, time.monotonic()
         for fresh in (False, True):
             place = self._find(volume, key, deadline, fresh)
+            if fresh and place != went:
+                self.head.places.sent(False, time.monotonic() - at)
             if place is None:
                 raise ApiError(404, "no-such-object", f"volume {volume!r} holds no {key!r}")
+            went, at = place, time.monotonic()
             stat = exchange.head.method == b"HEAD"
             pending = self._submit(exchange, volume, key, cls, method=b"GET", body=Body(b"", 0), cell=place[0],
                                    size=0 if stat else self._asked(exchange, place[1]), query=b"?stat" if stat else b"")
             self._wait(pending)
             gone = pending.kind is Kind.SERVED and pending.answer is not None and pending.answer.status == 404
+            if not gone:
+                self.head.places.sent(True, 0.0)
             if not gone or fresh or time.monotonic() >= pending.deadline:
                 return self._finish(pending)
             self.head.finished(pending, "moved")    # the place was old: ask the catalogue, once
@@ -260,9 +266,9 @@
             new = head.headers.get(b"if-none-match", b"").strip() == b"*"
             try:
                 until = pending.deadline + self.config.clients.answer_margin / 2
-                if not self.head.locator.note(volume, key, pending.cell, exchange.seen, new, until):
+                if not self.head.places.note(volume, key, pending.cell, exchange.seen, new, until):
                     pending.answer = Answer(412, {})
-            except LocatorError as bad:
+            except PlacesError as bad:
                 self.head.log.error("written, but its place can't be noted", volume=volume, key=key, error=str(bad))
                 pending.kind = Kind.FAILED
         self._finish(pending)
@@ -305,8 +311,8 @@
         self._wait(pending)
         if pending.kind is Kind.SERVED and pending.answer is not None and pending.answer.status in (204, 404):
             try:
-                self.head.locator.drop(volume, key, pending.deadline + self.config.clients.answer_margin / 2)
-            except LocatorError as bad:
+                self.head.places.drop(volume, key, pending.deadline + self.config.clients.answer_margin / 2)
+            except PlacesError as bad:
                 self.head.log.error("deleted, but its place still stands", volume=volume, key=key, error=str(bad))
         self._finish(pending)
 
@@ -319,8 +325,8 @@
         if not limit.isdigit() or not 1 <= int(limit) <= 1000:
             raise ApiError(400, "bad-query", "limit is a number from 1 to 1000")
         try:
-            keys, more = self.head.locator.list(volume, asked.get("prefix", ""), asked.get("after", ""), int(limit))
-        except LocatorError as bad:
+            keys, more = self.head.places.list(volume, asked.get("prefix", ""), asked.get("after", ""), int(limit))
+        except PlacesError as bad:
             raise ApiError(503, "no-catalogue", str(bad)) from None
         out: dict[str, Any] = {"volume": volume, "objects": [{"key": k, "size": s} for k, s in keys]}
         if more:
@@ -339,7 +345,7 @@
             elif pending.answer is not None:
                 head.metrics.bytes_out += max(0, pending.answer.streamed)
             return
-        ident = (b"Fawn-Request-Id", pending.op.encode())
+        ident = [(b"Fawn-Request-Id", pending.op.encode()), *pending.said]
         if kind is Kind.SERVED and pending.answer is not None:
             self._served(pending, pending.answer, ident)
             return
@@ -350,14 +356,14 @@
             more = [(b"Retry-After", b"%d" % max(1, round(wait))), (b"Fawn-Retry-After-Ms", b"%d" % (wait * 1000))] \
                 if wait > 0 else []
             body = {"error": "refused", "reason": reason, "may_have_run": False, "request": pending.op}
-            return exchange.respond(503, [_JSON, ident, *more], json.dumps(body).encode())
+            return exchange.respond(503, [_JSON, *ident, *more], json.dumps(body).encode())
         status = 504 if "no answer" in reason else 502
         body = {"error": "failed", "reason": reason, "may_have_run": not known, "request": pending.op}
-        exchange.respond(status, [_JSON, ident], json.dumps(body).encode())
+        exchange.respond(status, [_JSON, *ident], json.dumps(body).encode())
 
-    def _served(self, pending: Pending, answer: Answer, ident: tuple[bytes, bytes]) -> None:
+    def _served(self, pending: Pending, answer: Answer, ident: list[tuple[bytes, bytes]]) -> None:
         exchange: Exchange = pending.exchange
-        headers = [ident]
+        headers = list(ident)
         for name, text in ((b"etag", b"ETag"), (b"content-range", b"Content-Range")):
             if name in answer.headers:
                 headers.append((text, answer.headers[name]))
--- a/fawnspool/cli/status.py
+++ b/fawnspool/cli/status.py
@@ -34,6 +34,11 @@
                f"module: {module['events']} events, {module['us_per_event']} us each, {module['errors']} errors")
     click.echo(f"node list: version {listed['version']}, "
                f"{'reachable' if listed['reachable'] else 'OUT OF REACH'}, heard {listed['heard_s']} s ago")
+    places = said["map"]
+    click.echo(f"extent map: {places['extents']} extents, "
+               f"{'reachable' if places['reachable'] else 'SERVICE OUT OF REACH'}, "
+               f"{'never whole' if places['age_s'] is None else 'whole ' + str(places['age_s']) + ' s ago'}, "
+               f"{places['wrong_sends']} wrong sends")
     names = ["node", "address", "zone", "cell", "listed", "state", "bound", "held", "out", "response_ms", "wait_ms",
              "bad_signs", "heard_s"]
     table("Nodes", names, [[row.get(n, "-") for n in names] for row in said["nodes"]])
--- a/fawnspool/config/head.py
+++ b/fawnspool/config/head.py
@@ -74,7 +74,7 @@
 class CatalogueBlock:
     address: str = spec("", kind="address")
     call_timeout: float = spec(0.5, kind="time", low=0.01)
-    entries: int = spec(100_000, low=1)      # places kept in the head's cache
+    peak: float = spec(200.0, low=1)         # calls a second that the service bears from all heads together
 
 
 @dataclass(frozen=True)
--- a/fawnspool/extents/stale.py
+++ b/fawnspool/extents/stale.py
@@ -49,12 +49,14 @@
     tries: int = 0              # calls that failed in a row
     next: float = -math.inf     # no call before
     since: float = -math.inf    # out of reach since
+    lives: bool = False         # heard in this life of the head: what it says of moves is of now
 
 
 class Staleness:
     """Asked for each request (`choose`) and told what came of it. Work per event does not grow with the map."""
 
     GAIN = 0.05                 # smoothing of what is learned
+    WAITS = 4                   # usual questions' time that one may take
     RATE = 20.0                 # seconds over which the rate of moves is averaged
 
     def __init__(self, terms: Terms, shards: int, seed: int) -> None:
@@ -83,7 +85,8 @@
         behind = now - s.whole if s.whole > -math.inf else math.inf
         if behind == math.inf:
             return 1.0 if s.moves else max(self.wrong, self.terms.beside)
-        return max(1 - math.exp(-s.moves * behind), self.wrong)
+        unsure = 0.0 if s.lives else self.terms.beside      # from disk alone: how often extents move is not known
+        return max(1 - math.exp(-s.moves * behind), self.wrong, unsure)
 
     def choose(self, now: float, m: ExtentMap, volume: str, extent: str, patience: float) -> Do:
         """patience: seconds that the client still waits. A question is never asked first where its answer would come
@@ -126,7 +129,7 @@
     def told(self, now: float, shard: int, whole: bool, moves: int, extents: int, span: float) -> None:
         """A delta or a sign of life: `whole`, nothing is missing behind it; `moves` of `extents` in `span` seconds."""
         s = self.shards[shard]
-        s.heard, s.tries, s.next, s.since = now, 0, -math.inf, -math.inf
+        s.heard, s.tries, s.next, s.since, s.lives = now, 0, -math.inf, -math.inf, True
         if whole:
             s.whole = now
         if span > 0 and extents:
@@ -151,6 +154,23 @@
         s.next = now + pause
         return pause
 
+    def lost(self, now: float) -> float:
+        """The watch of all shards ended: seconds until the next, and until then no question either."""
+        pause = self.failed(now, 0)
+        for s in self.shards[1:]:
+            s.since, s.tries, s.next = self.shards[0].since, self.shards[0].tries, self.shards[0].next
+        return pause
+
+    def saved(self, now: float, age: float) -> None:
+        """The map comes from disk, and was whole so many seconds ago."""
+        for s in self.shards:
+            s.whole = now - age
+
+    def first_within(self, patience: float) -> float:
+        """How long a question that goes first may take before the send goes without its answer: a few usual ones, and
+        never what the send itself needs."""
+        return max(0.0, min(self.WAITS * self.ask_s, patience - self.wrong_s))
+
     def returns(self, now: float) -> float:
         """The service was out of reach and is back: when this head fetches what it missed, seconds from now, spread so
         that all heads together stay within what the service bears."""
--- a/fawnspool/head/attempts.py
+++ b/fawnspool/head/attempts.py
@@ -192,7 +192,7 @@
     headers = [(b"ETag", status.headers[b"etag"])] if b"etag" in status.headers else []
     if b"content-range" in status.headers:
         headers.append((b"Content-Range", status.headers[b"content-range"]))
-    headers += [(b"Accept-Ranges", b"bytes"), (b"Fawn-Request-Id", pending.op.encode())]
+    headers += [(b"Accept-Ranges", b"bytes"), (b"Fawn-Request-Id", pending.op.encode()), *pending.said]
     try:
         exchange.begin(status.code, headers, status.length)
         while True:
--- a/fawnspool/head/head.py
+++ b/fawnspool/head/head.py
@@ -1,4 +1,4 @@
-"""The object API's head, put together: the core, its settings in HCL, the list, the locator, peers and traces.
+"""The object API's head, put together: the core, its settings in HCL, the list, the extent map, peers and traces.
 
 `submit` takes a request for the client's side and returns its `Pending`; its `done` is set with the one final
 answer.
@@ -17,12 +17,13 @@
 from fawnspool.baselines.passthrough import PassThrough
 from fawnspool.config.head import HeadConfig, module_settings
 from fawnspool.control import Controller
+from fawnspool.extents.stale import Terms
 from fawnspool.head.core import Core, PoolBounds
 from fawnspool.head.lists import FixedList, ListClient, Row
-from fawnspool.head.locator import CatalogueClient, Locator, Source
 from fawnspool.head.nodespeech import NodeSpeech
 from fawnspool.head.peers import Peers
 from fawnspool.head.pending import Body, Pending
+from fawnspool.head.places import MapClient, Places, Source
 from fawnspool.net.client import Broken, NotReached, call
 from fawnspool.net.http import BadMessage
 from fawnspool.net.nodewire import TOLD, read_told
@@ -33,6 +34,7 @@
 from fawnspool.telemetry.metrics import HeadMetrics
 from fawnspool.telemetry.traces import Traces
 
+AGE_MOST_MS = 10**9         # also where the map was never whole
 POLICIES: dict[str, Callable[[i.Settings, int], Any]] = {"module": Controller, "pass": PassThrough}
 
 
@@ -63,7 +65,7 @@
         recorder = Recorder(h.record, h.policy, settings, h.seed, module_hash(module),
                             self.behind) if h.record else None
         traces = Traces(h.trace, h.trace_share, f"head-{h.number}", self.behind) if h.trace else None
-        self.figures = HeadMetrics(self.gauges)
+        self.figures = HeadMetrics(self.gauges, lambda: self.places.status())
         super().__init__(settings, module, NodeSpeech(h.number, settings, c.clients.replay_bytes),
                          PoolBounds(c.nodes.connections, c.nodes.connect_timeout, c.nodes.idle_close),
                          self.figures, logs.get(head=h.number), recorder=recorder, traces=traces)
@@ -76,10 +78,17 @@
                 address(config.list.address), h.number, config.nodes.zones, config.nodes.kinds,
                 config.list.mode == "push", config.list.call_timeout, Path(h.data) / "list.json", self.loop.tell,
                 self.log, self.behind)
-        self.locator = Locator(source or CatalogueClient(address(config.catalogue.address),
-                                                         config.catalogue.call_timeout), config.catalogue.entries)
+        self.places = Places(source, Terms(heads=h.heads), h.seed, self.log) if source is not None \
+            else self._places(config)
         self.peers: Peers | None = None
 
+    def _places(self, config: HeadConfig) -> Places:
+        k = config.catalogue
+        where = address(k.address)
+        return Places(MapClient(where, k.call_timeout), Terms(heads=config.head.heads, peak=k.peak), config.head.seed,
+                      self.log, address=where, timeout=k.call_timeout, folder=Path(config.head.data),
+                      behind=self.behind)
+
     def start(self) -> None:
         h = self.config.head
         if self.config.peer and h.peer_listen:
@@ -87,9 +96,11 @@
                                {int(p.name): address(p.address) for p in self.config.peer}, self.loop.tell)
         super().start()
         self.list.start()
+        self.places.start()
 
     def stop(self) -> None:
         self.list.stop()
+        self.places.stop()
         if self.peers is not None:
             self.peers.stop()
         super().stop()
@@ -113,6 +124,8 @@
                         cell, block.heads, repeat, method in (b"PUT", b"DELETE"))
         pending = Pending(req, method, target, forward, body, exchange, op, idem, came, came + patience,
                           self.config.class_[cls].name, block.plan)
+        if age := self.places.behind_by():      # the place may be old: the client is told
+            pending.said = [(b"Fawn-Map-Age-Ms", b"%d" % min(age * 1000, AGE_MOST_MS))]
         if self.traces is not None:
             pending.span = self.traces.begin(came, volume=volume, cls=pending.cls, plan=block.plan, units=units,
                                              method=method.decode(), op=op)
@@ -170,5 +183,4 @@
                 "in_hand": len(self.pending), "module": {
                     "events": m.module_events, "errors": m.module_errors,
                     "us_per_event": round(m.module_seconds / max(1, m.module_events) * 1e6, 1)},
-                "locator": {"places": len(self.locator.places), "hits": self.locator.hits,
-                            "asked": self.locator.asked}, "nodes": nodes}
+                "map": self.places.status(), "nodes": nodes}
--- a/fawnspool/head/listlink.py
+++ b/fawnspool/head/listlink.py
@@ -23,6 +23,7 @@
     """Calls and watches of one service. `silence`: seconds without a byte after which a watch counts as broken."""
 
     version = 0
+    line_most = LINE_MOST
 
     def __init__(self, address: tuple[str, int], timeout: float, silence: float, tell: Callable[[Any], None],
                  log: Any) -> None:
@@ -47,6 +48,9 @@
         """What was told, the answer to a call or a line of a watch. Raises ValueError where it does not read."""
         raise NotImplementedError
 
+    def beat(self) -> None:
+        """The watch stands and has nothing to tell."""
+
     # ------------------------------------------------------------ what the module asks for
 
     def stop(self) -> None:
@@ -85,18 +89,24 @@
             status = link.begin_answer(time.monotonic() + self.timeout)
             if status.code != 200:
                 raise ValueError(f"answered {status.code}")
-            rest = b""
+            rest, size = list[bytes](), 0       # of a line that is not whole: joined once, as it may be long
             while True:
                 piece = link.piece(time.monotonic() + self.silence)
                 if piece is None:
                     raise Broken("the watch ended")
-                *lines, rest = (rest + piece).split(b"\n")
-                if len(rest) > LINE_MOST:
-                    raise ValueError(f"a line of over {LINE_MOST} bytes")
+                *lines, last = piece.split(b"\n")
+                if lines:
+                    lines[0], rest, size = b"".join((*rest, lines[0])), [], 0
+                rest.append(last)
+                size += len(last)
+                if size > self.line_most:
+                    raise ValueError(f"a line of over {self.line_most} bytes")
                 for line in lines:
                     self.heard = time.monotonic()
                     if line.strip():
                         self._heard(line)
+                    else:
+                        self.beat()
         except _BAD as bad:
             self.watching = None
             self._failed(bad)
--- a/fawnspool/head/pending.py
+++ b/fawnspool/head/pending.py
@@ -91,6 +91,7 @@
     cell: int = -1           # of the node that served it
     done: Gate = field(default_factory=Gate)
     span: Any = None
+    said: list[tuple[bytes, bytes]] = field(default_factory=list)   # headers that its answer carries in any case
 
     def begin(self) -> bool:
         """An attempt is about to pass its answer on; False: too late, another answer stands."""
--- /dev/null
+++ b/fawnspool/head/places.py
@@ -0,0 +1,300 @@
+"""Where extents lie, as this head knows it: its map, kept up by a watch of the map service.
+
+Carries out what `extents/stale.py` decides of places that may be old, and what `extents/map.py` makes of what is told.
+"""
+from __future__ import annotations
+
+import math
+import time
+from pathlib import Path
+from typing import Any, Protocol
+
+import gevent
+import msgspec
+
+from fawnspool.extents.facts import Delta, DeltaError, Fact
+from fawnspool.extents.map import ExtentMap, shard_of
+from fawnspool.extents.stale import Do, Staleness, Terms
+from fawnspool.head.listlink import ListLink
+from fawnspool.head.mapfile import MapFile, read
+from fawnspool.net.client import Broken, NotReached, Pool, call
+from fawnspool.net.http import BadMessage
+from fawnspool.records.behind import Behind
+
+SILENT_BEATS = 2.5      # of a watch, in its beats, before it counts as broken
+LARGE = 1000            # facts in one delta after which others get their turn
+SHARDS_MOST = 4096
+
+
+class PlacesError(Exception):
+    """The map service can't be asked now."""
+
+
+class Source(Protocol):
+    """What knows all places: the service over HTTP, or one in this process."""
+
+    def fact(self, volume: str, key: str) -> Fact | None: ...
+
+    def note(self, volume: str, key: str, cell: int, size: int, new: bool = False) -> tuple[Fact, bool]: ...
+
+    def drop(self, volume: str, key: str) -> Fact | None: ...
+
+    def list(self, volume: str, prefix: str, after: str, limit: int) -> tuple[list[tuple[str, int]], bool]: ...
+
+
+class MapClient:
+    """Calls of the map service, each within a deadline (monotonic). Raises PlacesError where it is out of reach."""
+
+    def __init__(self, address: tuple[str, int], timeout: float, pool: Pool | None = None,
+                 deadline: float = math.inf) -> None:
+        self.pool, self.timeout, self.deadline = pool or Pool(address, 256, timeout, 30.0), timeout, deadline
+
+    def until(self, deadline: float) -> MapClient:
+        return MapClient(self.pool.address, self.timeout, self.pool, deadline)
+
+    def _call(self, target: bytes, kind: Any, **asked: Any) -> tuple[int, Any]:
+        try:
+            status, body = call(self.pool, b"POST", target, min(self.deadline, time.monotonic() + self.timeout),
+                                msgspec.msgpack.encode(asked))
+            if status.code not in (200, 404, 409):
+                raise PlacesError(f"the map service answered {status.code}")
+            return status.code, None if status.code == 404 else msgspec.msgpack.decode(body, type=kind)
+        except (NotReached, Broken, BadMessage, TimeoutError, msgspec.MsgspecError) as bad:
+            raise PlacesError(f"the catalogue can't be reached: {bad or type(bad).__name__}") from None
+
+    def fact(self, volume: str, key: str) -> Fact | None:
+        found: Fact | None = self._call(b"/find", Fact, volume=volume, key=key)[1]
+        return found
+
+    def note(self, volume: str, key: str, cell: int, size: int, new: bool = False) -> tuple[Fact, bool]:
+        status, stands = self._call(b"/put", Fact, volume=volume, key=key, cell=cell, size=size, new=new)
+        return stands, status == 200
+
+    def drop(self, volume: str, key: str) -> Fact | None:
+        gone: Fact | None = self._call(b"/drop", Fact | None, volume=volume, key=key)[1]
+        return gone
+
+    def flip(self, volume: str, key: str, cell: int, generation: int) -> Fact | None:
+        holds: Fact | None = self._call(b"/flip", Fact, volume=volume, key=key, cell=cell, generation=generation)[1]
+        return holds
+
+    def list(self, volume: str, prefix: str, after: str, limit: int) -> tuple[list[tuple[str, int]], bool]:
+        _, out = self._call(b"/list", _Listed, volume=volume, prefix=prefix, after=after, limit=limit)
+        return out.keys, out.more
+
+
+class _Listed(msgspec.Struct):
+    keys: list[tuple[str, int]]
+    more: bool
+
+
+class _Shards(msgspec.Struct):
+    shards: int
+
+
+class _MapLink(ListLink):
+    """The watch; what it says goes to `Places`."""
+
+    line_most = 64 << 20        # a snapshot of one shard is one line
+
+    def __init__(self, address: tuple[str, int], timeout: float, beat: float, places: Places, log: Any) -> None:
+        super().__init__(address, timeout, SILENT_BEATS * beat, lambda event: None, log)
+        self.places = places
+        self.first = True
+
+    def watch_target(self) -> bytes:
+        self.first = True
+        told = ",".join(f"{e}.{v}" for e, v in (s.told for s in self.places.map.shards))
+        return b"/watch?told=" + told.encode()
+
+    def beat(self) -> None:
+        self.places.beaten()
+
+    def take(self, data: bytes) -> None:
+        try:
+            if self.first:
+                self.first = False
+                return self.places.begins(msgspec.json.decode(data, type=_Shards).shards)
+            delta = msgspec.json.decode(data, type=Delta)
+            self.places.told(delta)
+        except (msgspec.MsgspecError, DeltaError) as bad:
+            raise ValueError(str(bad)) from None
+        if len(delta.facts) >= LARGE:
+            gevent.sleep(0)
+
+    def _failed(self, bad: Exception) -> None:
+        self.reachable = False
+        self.log.warning("map service out of reach: the last good map holds", error=str(bad) or type(bad).__name__)
+        gevent.spawn_later(self.places.lost(), self.places.watch)
+
+
+class Places:
+    """`address` None: the service is in this process and asked each time. `start` before the first `find`."""
+
+    def __init__(self, source: Any, terms: Terms, seed: int, log: Any, *, address: tuple[str, int] | None = None,
+                 timeout: float = 0.5, folder: Path | None = None, behind: Behind | None = None) -> None:
+        self.source, self.terms, self.seed, self.log = source, terms, seed, log
+        self.map = ExtentMap.empty(1)
+        self.stale = Staleness(terms, 1, seed)
+        self.link = _MapLink(address, timeout, terms.beat, self, log) if address is not None else None
+        self.file = MapFile(folder, behind, self._unsaved) if folder is not None and behind is not None else None
+        self.folder = folder
+        self.hits = self.asked = self.wrong = 0
+        self.stopped = False
+        self.last: list[float] = [0.0]          # when a shard was last told something (monotonic)
+
+    def start(self) -> None:
+        """Take the saved map, then watch."""
+        if self.folder is not None and self.file is not None:
+            saved = read(self.folder)
+            if saved.why:
+                self.log.error("the saved map does not read", error=saved.why, used=saved.map is not None)
+            if saved.map is not None:
+                self._shards(len(saved.map.shards))
+                self.map = saved.map
+                if saved.whole_at > 0:
+                    self.stale.saved(time.monotonic(), max(0.0, time.time() - saved.whole_at))
+                self.log.info("saved map", extents=len(self.map), age_s=round(self.age(), 1))
+        self.watch()
+
+    def stop(self) -> None:
+        self.stopped = True
+        if self.link is not None:
+            self.link.stop()
+        if self.file is not None:
+            self.file.close()
+
+    def watch(self) -> None:
+        if self.link is not None and not self.stopped:
+            self.link.watch(True)
+
+    def age(self) -> float:
+        """Seconds since the map was last known whole; inf: never."""
+        return 0.0 if self.link is None else self.stale.age(time.monotonic())
+
+    def reachable(self) -> bool:
+        return self.link is None or self.link.reachable
+
+    def behind_by(self) -> float:
+        """The age where it is worth telling: the watch has missed its beats. 0: the map is up to date."""
+        age = self.age()
+        return age if age > 2 * self.terms.beat else 0.0
+
+    # ------------------------------------------------------------ what the watch says
+
+    def _shards(self, count: int) -> None:
+        self.map, self.stale = ExtentMap.empty(count), Staleness(self.terms, count, self.seed)
+        self.last = [time.monotonic()] * count
+
+    def begins(self, count: int) -> None:
+        if not 1 <= count <= SHARDS_MOST:
+            raise ValueError(f"a map of {count} shards")
+        if count != len(self.map.shards):       # another map: of the one held nothing can be joined
+            self._shards(count)
+
+    def told(self, delta: Delta) -> None:
+        old, now = self.map, time.monotonic()
+        self.map = old.apply(delta)
+        moves = sum(had.cell != f.cell for f in delta.facts if (had := old.find(f.volume, f.extent)) is not None) \
+            if not delta.whole else 0
+        shard = self.map.shards[delta.shard]
+        span, self.last[delta.shard] = now - self.last[delta.shard], now
+        self.stale.told(now, delta.shard, shard.gap is None, moves, len(shard.table), 0.0 if delta.whole else span)
+        if self.map is not old and self.file is not None:
+            self.file.told(delta, self.map)
+
+    def beaten(self) -> None:
+        """The watch stands and has nothing to tell: what was told holds."""
+        now = time.monotonic()
+        for number, shard in enumerate(self.map.shards):
+            self.stale.told(now, number, shard.gap is None, 0, 0, 0.0)
+        if self.file is not None:
+            self.file.whole(self.map)
+
+    def lost(self) -> float:
+        """The watch ended: seconds until the next."""
+        return self.stale.lost(time.monotonic())
+
+    def _unsaved(self, why: str) -> None:
+        self.log.error("the map can't be saved: a restart will ask the service for more", error=why)
+
+    # ------------------------------------------------------------ requests
+
+    def find(self, volume: str, key: str, deadline: float, fresh: bool = False) -> tuple[int, int] | None:
+        """(cell, size in bytes), or None: there is no such object. Raises PlacesError."""
+        found = None if fresh or self.link is None else self.map.find(volume, key)
+        if found is None:       # not known here: it may have come into being a moment ago
+            found = self._ask(volume, key, deadline)
+            return None if found is None else (found.cell, found.size)
+        now = time.monotonic()
+        do = self.stale.choose(now, self.map, volume, key, deadline - now)
+        if do is Do.ASK_BESIDE:
+            gevent.spawn(self._ask_quietly, volume, key, now + self.stale.terms.least_s)
+        elif do is Do.ASK_FIRST:
+            came, answer = self._ask_quietly(volume, key, now + self.stale.first_within(deadline - now))
+            if came:
+                return None if answer is None else (answer.cell, answer.size)
+        self.hits += 1
+        return found.cell, found.size
+
+    def _ask(self, volume: str, key: str, deadline: float) -> Fact | None:
+        self.asked += 1
+        began, shard = time.monotonic(), shard_of(volume, len(self.map.shards))
+        try:
+            found: Fact | None = self._until(deadline).fact(volume, key)
+        except PlacesError:
+            self.stale.failed(time.monotonic(), shard, volume, key)
+            raise
+        now = time.monotonic()
+        self.stale.answered(now, volume, key, now - began)
+        if found is not None:
+            self._hint(found)
+        return found
+
+    def _ask_quietly(self, volume: str, key: str, deadline: float) -> tuple[bool, Fact | None]:
+        """Did an answer come, and which; if not, the last good map holds."""
+        try:
+            return True, self._ask(volume, key, deadline)
+        except PlacesError:
+            return False, None
+
+    def _until(self, deadline: float) -> Source:
+        source: Source = self.source if self.link is None else self.source.until(deadline)
+        return source
+
+    def _hint(self, fact: Fact) -> None:
+        """What a call told, joined like any fact: the watch will say it too."""
+        if self.link is None:
+            return
+        old, self.map = self.map, self.map.hint(fact)
+        if self.map is not old and self.file is not None:
+            self.file.told(fact, self.map)
+
+    def sent(self, right: bool, cost: float) -> None:
+        """A send found its extent, or not, after `cost` seconds."""
+        self.wrong += not right
+        self.stale.sent(right, cost)
+
+    def note(self, volume: str, key: str, cell: int, size: int, new: bool, deadline: float) -> bool:
+        """A write left the object there; False: with `new`, another one came first. Raises PlacesError."""
+        had = self.map.find(volume, key)
+        if had is not None and (had.cell, had.size) == (cell, size) and not self.behind_by():
+            return True
+        stands, taken = self._until(deadline).note(volume, key, cell, size, new)
+        self._hint(stands)
+        return taken
+
+    def drop(self, volume: str, key: str, deadline: float) -> None:
+        """Raises PlacesError."""
+        gone = self._until(deadline).drop(volume, key)
+        if gone is not None:
+            self._hint(gone)
+
+    def list(self, volume: str, prefix: str, after: str, limit: int) -> tuple[list[tuple[str, int]], bool]:
+        return self.source.list(volume, prefix, after, limit)  # type: ignore[no-any-return]
+
+    def status(self) -> dict[str, Any]:
+        age = self.age()
+        return {"extents": len(self.map), "shards": len(self.map.shards), "reachable": self.reachable(),
+                "age_s": round(age, 2) if age < math.inf else None, "hits": self.hits, "asked": self.asked,
+                "wrong_sends": self.wrong, "not_asked": self.stale.refused}
--- a/fawnspool/standins/catalogue.py
+++ b/fawnspool/standins/catalogue.py
@@ -1,121 +1,349 @@
-"""The shared catalogue: which cell holds an object. A small service until the extent map comes.
+"""The map service: which cell holds an extent, told to whoever watches. docs/map-wire.md describes its protocol.
 
-POST /find {"volume", "key"}                      {"cell", "size"} or 404
-POST /put  {"volume", "key", "cell", "size", "new"}   200; 409 with the first place where `new` and already there
-POST /drop {"volume", "key"}                      200
-POST /list {"volume", "prefix", "after", "limit"} {"keys": [[key, size], ...], "more": bool}
-Bodies are msgpack. Every change is appended to a file before it is answered.
+Its state lies in LMDB, three tables: facts (shard, volume, extent), the log of changes (shard, epoch, version), and the
+past of each shard. A change is one transaction, so a kill leaves the state before it or after it. It is not forced to
+the disk: what a power cut takes is for the scrub, as with a restored backup.
 """
 from __future__ import annotations
 
-from bisect import bisect_left, bisect_right, insort
+import tempfile
+import time
+from collections.abc import Callable, Iterator
+from contextlib import suppress
+from dataclasses import replace
 from pathlib import Path
 from typing import Any
+from urllib.parse import parse_qs
 
+import gevent
+import lmdb
 import msgspec
+from gevent.queue import Empty, Queue
 
+from fawnspool.extents.facts import Delta, Fact, Stamp, State
+from fawnspool.extents.history import Past, Way
+from fawnspool.extents.map import shard_of
 from fawnspool.net.http import BadMessage
 from fawnspool.net.server import Exchange, Server
-from fawnspool.records.frames import Reader, Writer
+from fawnspool.records.frames import MAGIC, Reader
 
+SHARDS = 64
 LIST_MOST = 1000
+BEAT_S = 1.0
+QUEUE_MOST = 4096       # deltas that wait for one watch: one that is further behind starts anew
+ROOM = 8 << 30          # addresses that LMDB may use; the file grows as it is filled
+_END = b"\xff"
+
+
+def _fact_key(shard: int, volume: str, extent: str = "") -> bytes:
+    return shard.to_bytes(2, "big") + volume.encode() + b"\0" + extent.encode()
+
+
+def _log_key(shard: int, epoch: int, version: int) -> bytes:
+    return shard.to_bytes(2, "big") + epoch.to_bytes(8, "big") + version.to_bytes(8, "big")
 
 
 class Catalogue:
-    """Places by volume and key; kept in a file of changes if one is given."""
-
-    def __init__(self, path: str | Path | None = None) -> None:
-        self.places: dict[str, dict[str, tuple[int, int]]] = {}
-        self.keys: dict[str, list[str]] = {}
-        self.writer: Writer | None = None
-        if path is not None:
-            if Path(path).exists():
-                for row in Reader(path):
-                    self._apply(row)
-            self.writer = Writer(path, keep=True)
-
-    def _apply(self, row: list[Any]) -> None:
-        volume, key, cell, size = row
-        places, keys = self.places.setdefault(volume, {}), self.keys.setdefault(volume, [])
-        if cell < 0:
-            if places.pop(key, None) is not None:
-                del keys[bisect_left(keys, key)]
-            return
-        if key not in places:
-            insort(keys, key)
-        places[key] = (cell, size)
-
-    def _change(self, row: list[Any]) -> None:
-        if self.writer is not None:
-            self.writer.put(row)
-        self._apply(row)
+    """Places by volume and extent. `path`: its file; without one it is kept beside and goes with this object."""
+
+    def __init__(self, path: str | Path | None = None, shards: int = SHARDS,
+                 clock_ms: Callable[[], int] = lambda: time.time_ns() // 1_000_000) -> None:
+        self.beside = tempfile.TemporaryDirectory(prefix="fawnspool-map-") if path is None else None
+        where = Path(self.beside.name) / "map.lmdb" if self.beside is not None else Path(str(path))
+        where.parent.mkdir(parents=True, exist_ok=True)
+        old = _older_form(where)
+        self.env = lmdb.open(str(where), subdir=False, map_size=ROOM, max_dbs=3, sync=False, metasync=False)
+        self.facts, self.log, self.meta = (self.env.open_db(name) for name in (b"facts", b"log", b"past"))
+        with self.env.begin(write=True) as txn:
+            kept = txn.get(b"shards", db=self.meta)
+            self.shards = int(kept) if kept else shards         # a file keeps the number that it began with
+            txn.put(b"shards", b"%d" % self.shards, db=self.meta)
+            self.past = [self._past(txn, k).begin(clock_ms()) for k in range(self.shards)]
+            for k, past in enumerate(self.past):
+                self._keep(txn, k, past)
+        self.watchers: dict[object, Callable[[Delta], None]] = {}
+        for volume, key, cell, size in old:
+            self.put(volume, key, cell, size)
+
+    def close(self) -> None:
+        self.env.close()
+        if self.beside is not None:
+            self.beside.cleanup()
+
+    def backup(self, path: str | Path) -> None:
+        """The state as it is now, to be opened as another catalogue's file."""
+        Path(path).parent.mkdir(parents=True, exist_ok=True)
+        draft = Path(f"{path}.draft")
+        draft.unlink(missing_ok=True)
+        self.env.copy(str(draft), compact=True)
+        draft.replace(path)
+
+    # ------------------------------------------------------------ tables
+
+    def _past(self, txn: Any, shard: int) -> Past:
+        raw = txn.get(b"past-%d" % shard, db=self.meta)
+        return msgspec.msgpack.decode(raw, type=Past) if raw else Past()
+
+    def _keep(self, txn: Any, shard: int, past: Past) -> None:
+        txn.put(b"past-%d" % shard, msgspec.msgpack.encode(past), db=self.meta)
+        self.past[shard] = past
+
+    def _fact(self, txn: Any, volume: str, extent: str) -> Fact | None:
+        raw = txn.get(_fact_key(shard_of(volume, self.shards), volume, extent), db=self.facts)
+        return msgspec.msgpack.decode(raw, type=Fact) if raw else None
+
+    def fact(self, volume: str, extent: str) -> Fact | None:
+        """What holds of an extent; None: there is none."""
+        with self.env.begin() as txn:
+            found = self._fact(txn, volume, extent)
+        return found if found is not None and found.state is not State.GONE else None
+
+    def _change(self, volume: str, extent: str, choose: Callable[[Fact | None, Stamp], Fact | None]) -> Fact | None:
+        """One change in one transaction. `choose(what holds, the next stamp of its generation)` gives the new fact, or
+        None: nothing changes. Watchers are told once it stands."""
+        shard = shard_of(volume, self.shards)
+        with self.env.begin(write=True) as txn:
+            had = self._fact(txn, volume, extent)
+            past = self.past[shard].change()
+            generation = had.stamp.generation if had is not None else past.born
+            made = choose(had, Stamp(generation, past.epoch, past.version))
+            if made is None:
+                return None
+            raw = msgspec.msgpack.encode(made)
+            txn.put(_fact_key(shard, volume, extent), raw, db=self.facts)
+            txn.put(_log_key(shard, past.epoch, past.version), raw, db=self.log)
+            there = (made.state is not State.GONE) - (had is not None and had.state is not State.GONE)
+            self._keep(txn, shard, self._compact(txn, shard, replace(past, extents=past.extents + there)))
+        delta = Delta(shard, made.stamp.epoch, made.stamp.version - 1, made.stamp.version, (made,))
+        for tell in list(self.watchers.values()):
+            tell(delta)
+        return made
+
+    def _compact(self, txn: Any, shard: int, past: Past) -> Past:
+        """Drop the oldest changes of a log that is too long, two at the most: the work of a change stays bounded. With
+        a tombstone's change goes the tombstone, and new extents begin above its generation."""
+        cursor = txn.cursor(db=self.log)
+        for _ in range(2):
+            if not past.too_long() or not cursor.set_range(_log_key(shard, 0, 0)):
+                break
+            key, gone = cursor.item()
+            gone = msgspec.msgpack.decode(gone, type=Fact)
+            stamp, born = gone.stamp, past.born
+            if gone.state is State.GONE:
+                place = _fact_key(shard, gone.volume, gone.extent)
+                if txn.get(place, db=self.facts) == msgspec.msgpack.encode(gone):
+                    txn.delete(place, db=self.facts)
+                    born = max(born, stamp.generation + 1)
+            txn.delete(key, db=self.log)
+            past = replace(past, cut=(stamp.epoch, stamp.version), born=born, logged=past.logged - 1)
+        return past
+
+    # ------------------------------------------------------------ what heads and movers ask
 
     def find(self, volume: str, key: str) -> tuple[int, int] | None:
         """(cell, size in bytes) or None."""
-        return self.places.get(volume, {}).get(key)
+        found = self.fact(volume, key)
+        return None if found is None else (found.cell, found.size)
+
+    def note(self, volume: str, key: str, cell: int, size: int, new: bool = False) -> tuple[Fact, bool]:
+        """A write left the extent there: (what holds now, was it taken?). With `new` the first place stands."""
+        stands: list[Fact] = []
+
+        def choose(had: Fact | None, stamp: Stamp) -> Fact | None:
+            there = had if had is not None and had.state is not State.GONE else None
+            if there is not None and ((new and there.cell != cell) or (there.cell, there.size) == (cell, size)):
+                stands.append(there)
+                return None
+            return Fact(volume, key, cell, stamp, State.HELD, size)
+
+        made = self._change(volume, key, choose)
+        return (made, True) if made is not None else (stands[0], stands[0].cell == cell)
 
     def put(self, volume: str, key: str, cell: int, size: int, new: bool = False) -> tuple[int, int] | None:
         """None: noted. With `new`, the place that was there before it and stands."""
-        had = self.find(volume, key)
-        if new and had is not None and had[0] != cell:
-            return had
-        if had != (cell, size):
-            self._change([volume, key, cell, size])
-        return None
+        stands, taken = self.note(volume, key, cell, size, new)
+        return None if taken else (stands.cell, stands.size)
+
+    def drop(self, volume: str, key: str) -> Fact | None:
+        """The extent is deleted. Its tombstone, or None where there was nothing."""
+        return self._change(volume, key, lambda had, stamp: None if had is None or had.state is State.GONE else Fact(
+            volume, key, -1, stamp, State.GONE))
+
+    def flip(self, volume: str, key: str, cell: int, generation: int) -> Fact | None:
+        """A move has reached `generation` at `cell`: what holds then. It holds once, whoever tells it how often; one
+        that another move has overtaken changes nothing."""
+        self._change(volume, key, lambda had, stamp: None if had is None or had.state is State.GONE or
+                     had.stamp.generation >= generation else Fact(
+                         volume, key, cell, Stamp(generation, stamp.epoch, stamp.version), State.HELD, had.size))
+        return self.fact(volume, key)
+
+    # ------------------------------------------------------------ catching up
 
-    def drop(self, volume: str, key: str) -> None:
-        if self.find(volume, key) is not None:
-            self._change([volume, key, -1, 0])
+    def _rows(self, table: Any, first: bytes) -> Iterator[tuple[bytes, bytes]]:
+        with self.env.begin() as txn:
+            cursor = txn.cursor(db=table)
+            if cursor.set_range(first):
+                yield from cursor
 
-    def until(self, deadline: float) -> Catalogue:
-        """Itself: in one process it answers at once."""
-        return self
+    def since(self, shard: int, told: tuple[int, int]) -> list[Delta]:
+        """What brings a head up to now that was told so far: changes by life, or a snapshot, whichever is less."""
+        past = self.past[shard]
+        rows = list[Fact]()
+        if past.reaches(told):
+            end = shard.to_bytes(2, "big") + _END * 16
+            for key, raw in self._rows(self.log, _log_key(shard, told[0], told[1] + 1)):
+                if key > end or len(rows) > past.extents:
+                    break
+                rows.append(msgspec.msgpack.decode(raw, type=Fact))
+        if past.way(told, len(rows)) is Way.SNAPSHOT:
+            prefix = shard.to_bytes(2, "big")
+            all_there = []
+            for key, raw in self._rows(self.facts, prefix):
+                if not key.startswith(prefix):
+                    break
+                found = msgspec.msgpack.decode(raw, type=Fact)
+                if found.state is not State.GONE:
+                    all_there.append(found)
+            return [Delta(shard, past.epoch, 0, past.version, tuple(all_there), True, past.covers)]
+        out = []
+        for epoch, upto in past.lives:
+            after = told[1] if epoch == told[0] else 0
+            if epoch < told[0] or (epoch == told[0] and after == upto and epoch != past.epoch):
+                continue
+            out.append(Delta(shard, epoch, min(after, upto), upto, tuple(f for f in rows if f.stamp.epoch == epoch)))
+        return out
 
     def list(self, volume: str, prefix: str, after: str, limit: int) -> tuple[list[tuple[str, int]], bool]:
         """Keys in order with their sizes, and whether there are more."""
-        keys = self.keys.get(volume, [])
-        at = max(bisect_left(keys, prefix), bisect_right(keys, after) if after else 0)
-        out: list[tuple[str, int]] = []
-        while at < len(keys) and keys[at].startswith(prefix):
+        shard, out = shard_of(volume, self.shards), list[tuple[str, int]]()
+        first = _fact_key(shard, volume, max(prefix, after))
+        for place, raw in self._rows(self.facts, first):
+            if not place.startswith(_fact_key(shard, volume, prefix)):
+                break
+            found = msgspec.msgpack.decode(raw, type=Fact)
+            if found.state is State.GONE or (after and found.extent <= after):
+                continue
             if len(out) == min(limit, LIST_MOST):
                 return out, True
-            out.append((keys[at], self.places[volume][keys[at]][1]))
-            at += 1
+            out.append((found.extent, found.size))
         return out, False
 
 
+def _older_form(path: Path) -> list[tuple[str, str, int, int]]:
+    """What a file of the form before LMDB holds; it is kept under another name."""
+    try:
+        with path.open("rb") as file:
+            if file.read(len(MAGIC)) != MAGIC:
+                return []
+    except OSError:
+        return []
+    places = dict[tuple[str, str], tuple[int, int]]()
+    for volume, key, cell, size in Reader(path):
+        if cell < 0:
+            places.pop((volume, key), None)
+        else:
+            places[volume, key] = (cell, size)
+    path.rename(path.with_name(path.name + ".before-lmdb"))
+    return [(*name, *place) for name, place in places.items()]
+
+
 class CatalogueServer:
-    """The catalogue over HTTP."""
+    """The map service over HTTP."""
 
     def __init__(self, address: tuple[str, int], catalogue: Catalogue) -> None:
-        self.catalogue = catalogue
-        self.server = Server(address, self._handle, idle_close=120.0)
-        self.address = self.server.address
-        self.server.start()
+        self.catalogue, self.where = catalogue, address
+        self.calls = 0
+        self.server: Server | None = None
+        self.start()
+
+    @property
+    def address(self) -> tuple[str, int]:
+        return self.where
+
+    def start(self) -> None:
+        if self.server is None:
+            self.server = Server(self.where, self._handle, idle_close=120.0)
+            self.where = self.server.address
+            self.server.start()
+
+    def gone(self) -> None:
+        """Out of reach: nothing listens, what was open is reset."""
+        if self.server is not None:
+            self.server.reset_all()
+            self.server.stop()          # also the greenlet that accepts: until it is gone, the address is taken
+            self.server = None
+            self.catalogue.watchers.clear()
 
     def _handle(self, exchange: Exchange) -> None:
+        self.calls += 1
+        path, _, query = exchange.head.target.decode("latin-1").partition("?")
+        if path == "/watch":
+            return self._watch(exchange, query)
         try:
             asked = msgspec.msgpack.decode(b"".join(exchange.body()))
-            status, out = self._do(exchange.head.target, asked)
-        except (KeyError, TypeError, msgspec.DecodeError) as bad:
+            status, out = self._do(path, asked)
+        except (KeyError, TypeError, ValueError, msgspec.DecodeError, lmdb.BadValsizeError) as bad:
             raise BadMessage(400, f"the call does not read: {bad}") from None
         exchange.respond(status, [], msgspec.msgpack.encode(out))
 
-    def _do(self, target: bytes, a: dict[str, Any]) -> tuple[int, Any]:
+    def _do(self, path: str, a: dict[str, Any]) -> tuple[int, Any]:
         c = self.catalogue
-        if target == b"/find":
-            found = c.find(a["volume"], a["key"])
-            return (200, {"cell": found[0], "size": found[1]}) if found else (404, {})
-        if target == b"/put":
-            stands = c.put(a["volume"], a["key"], a["cell"], a["size"], a["new"])
-            return (409, {"cell": stands[0], "size": stands[1]}) if stands else (200, {})
-        if target == b"/drop":
-            c.drop(a["volume"], a["key"])
-            return 200, {}
-        if target == b"/list":
+        if path == "/find":
+            found = c.fact(a["volume"], a["key"])
+            return (200, found) if found is not None else (404, {})
+        if path == "/put":
+            stands, taken = c.note(a["volume"], a["key"], a["cell"], a["size"], a["new"])
+            return 200 if taken else 409, stands
+        if path == "/drop":
+            return 200, c.drop(a["volume"], a["key"])
+        if path == "/flip":
+            holds = c.flip(a["volume"], a["key"], a["cell"], a["generation"])
+            return (200, holds) if holds is not None else (404, {})
+        if path == "/list":
             keys, more = c.list(a["volume"], a["prefix"], a["after"], a["limit"])
             return 200, {"keys": keys, "more": more}
         return 404, {}
 
+    def _watch(self, exchange: Exchange, query: str) -> None:
+        """All that the head was not told, then each change as it comes. Where it can't keep up, the watch ends."""
+        c = self.catalogue
+        told = read_told(parse_qs(query).get("told", [""])[0], c.shards)
+        queue: Queue[Delta] = Queue()
+        key = object()
+        c.watchers[key] = queue.put
+        try:
+            exchange.begin(200, [], None)
+            self._line(exchange, msgspec.json.encode({"shards": c.shards}))
+            for shard in range(c.shards):
+                for delta in c.since(shard, told[shard]):
+                    self._line(exchange, msgspec.json.encode(delta))
+                gevent.sleep(0)         # a whole map must not hold up who asks for one place
+            while queue.qsize() <= QUEUE_MOST:
+                try:
+                    self._line(exchange, msgspec.json.encode(queue.get(timeout=BEAT_S)))
+                except Empty:
+                    self._line(exchange, b"")
+            exchange.finish(False)
+        finally:
+            c.watchers.pop(key, None)
+
+    def _line(self, exchange: Exchange, text: bytes) -> None:
+        exchange.write(b"%x\r\n%s\n\r\n" % (len(text) + 1, text), time.monotonic() + 5.0)
+
     def stop(self) -> None:
-        self.server.stop()
+        self.gone()
+
+
+def read_told(text: str, shards: int) -> list[tuple[int, int]]:
+    """How far a head was told, `epoch.version` a shard; nothing where it knows another number of shards."""
+    parts = text.split(",") if text else []
+    if len(parts) != shards:
+        return [(0, 0)] * shards
+    out = []
+    for part in parts:
+        epoch, _, version = part.partition(".")
+        with suppress(ValueError):
+            out.append((int(epoch), int(version)))
+    if len(out) != shards or min(min(row) for row in out) < 0:
+        raise BadMessage(400, "told: expected epoch.version for each shard")
+    return out
--- a/fawnspool/telemetry/metrics.py
+++ b/fawnspool/telemetry/metrics.py
@@ -2,6 +2,7 @@
 """
 from __future__ import annotations
 
+import math
 from collections.abc import Callable, Iterator
 from typing import Any
 
@@ -22,9 +23,9 @@
 class HeadMetrics(Sums):
     """Sums of one head; `gauges` is asked for the present state when the page is read."""
 
-    def __init__(self, gauges: Callable[[], dict[str, dict[int, float]]]) -> None:
+    def __init__(self, gauges: Callable[[], dict[str, dict[int, float]]], places: Callable[[], dict[str, Any]]) -> None:
         super().__init__()
-        self.gauges = gauges
+        self.gauges, self.places = gauges, places
         self.registry = CollectorRegistry()
         self.registry.register(self)
 
@@ -67,6 +68,15 @@
         for status, count in sorted(self.bad_requests.items()):
             family.add_metric([str(status)], count)
         yield family
+        places = self.places()
+        yield GaugeMetricFamily("fawnspool_map_age_seconds", "Since the extent map was last known whole; NaN: never.",
+                                value=math.nan if places["age_s"] is None else places["age_s"])
+        yield GaugeMetricFamily("fawnspool_map_extents", "Extents in the map.", value=places["extents"])
+        for name, text, value in (
+                ("fawnspool_map_wrong_sends", "Reads sent to a node that no longer held them.", places["wrong_sends"]),
+                ("fawnspool_map_asked", "Questions to the map service.", places["asked"]),
+                ("fawnspool_map_not_asked", "Questions that the service's budget did not allow.", places["not_asked"])):
+            yield CounterMetricFamily(name, text, value=value)
         for name, rows in self.gauges().items():
             family = GaugeMetricFamily(f"fawnspool_node_{name}", f"Now, by node: {name}.", labels=["node"])
             for node, value in sorted(rows.items()):
--- /dev/null
+++ b/tests/e2e/test_map.py
@@ -0,0 +1,391 @@
+"""The extent map over sockets and on disk: watched, cut off, restored, restarted, damaged."""
+from __future__ import annotations
+
+import subprocess
+import sys
+import time
+from collections.abc import Iterator
+from pathlib import Path
+from typing import Any
+
+import gevent
+import pytest
+from gevent import socket
+
+from fawnspool.extents.map import ExtentMap
+from fawnspool.extents.stale import Terms
+from fawnspool.head import mapfile
+from fawnspool.head.mapfile import read, write
+from fawnspool.head.places import MapClient, Places, PlacesError
+from fawnspool.records.behind import Behind
+from fawnspool.records.frames import Writer
+from fawnspool.standins.catalogue import Catalogue, CatalogueServer
+from fawnspool.telemetry import logs
+from tests.e2e.rig import Rig, wait_for
+
+logs.set_up("none")
+
+
+class Heads:
+    """A map service and heads' sides of it."""
+
+    def __init__(self, tmp: Path, catalogue: Catalogue | None = None) -> None:
+        self.tmp, self.made = tmp, list[Places]()
+        self.service = CatalogueServer(("127.0.0.1", 0), catalogue or Catalogue(shards=4))
+        self.catalogue = self.service.catalogue
+
+    def head(self, name: str = "", heads: int = 1, **terms: float) -> Places:
+        behind = Behind()
+        at = self.service.address
+        made = Places(MapClient(at, 0.3), Terms(heads=heads, beat=terms.pop("beat", 1.0), **terms), len(self.made),
+                      logs.get(), address=at, timeout=0.3, folder=self.tmp / name if name else None, behind=behind)
+        made.start()
+        self.made.append(made)
+        return made
+
+    def replace(self, catalogue: Catalogue) -> None:
+        """Another life of the service at the same address."""
+        self.service.gone()
+        self.service.catalogue = self.catalogue = catalogue
+        self.service.start()
+
+    def close(self) -> None:
+        for places in self.made:
+            places.stop()
+        self.service.stop()
+
+
+@pytest.fixture
+def heads(tmp_path: Path) -> Iterator[Heads]:
+    made = Heads(tmp_path)
+    yield made
+    made.close()
+
+
+def soon() -> float:
+    return time.monotonic() + 2
+
+
+def cell(places: Places, key: str) -> int | None:
+    found = places.map.find("v", key)
+    return None if found is None else found.cell
+
+
+def test_all_heads_hear_of_a_change_and_send_without_asking(heads: Heads) -> None:
+    heads.catalogue.put("v", "old", 1, 10)
+    a, b = heads.head(), heads.head()
+    wait_for(lambda: cell(a, "old") == cell(b, "old") == 1)
+    assert a.note("v", "new", 2, 5, False, soon())
+    wait_for(lambda: cell(b, "new") == 2)
+    heads.catalogue.flip("v", "old", 3, 1)
+    wait_for(lambda: cell(a, "old") == cell(b, "old") == 3)
+    asked = heads.service.calls
+    assert [b.find("v", k, soon()) for k in ("old", "new") for _ in range(50)] == [(3, 10)] * 50 + [(2, 5)] * 50
+    assert heads.service.calls == asked and b.hits == 100 and b.behind_by() == 0
+    a.drop("v", "new", soon())
+    assert a.find("v", "new", soon()) is None
+    wait_for(lambda: cell(b, "new") is None)
+    assert b.list("v", "", "", 10) == ([("old", 10)], False)
+
+
+def test_what_the_map_does_not_hold_is_asked_for_and_the_first_of_two_stands(heads: Heads) -> None:
+    a = heads.head()
+    wait_for(a.reachable)
+    assert a.find("v", "none", soon()) is None and a.asked == 1
+    heads.catalogue.put("v", "k", 4, 1)
+    assert a.find("v", "k", soon()) == (4, 1)
+    assert not a.note("v", "k", 2, 1, True, soon()) and a.find("v", "k", soon()) == (4, 1)
+
+
+def test_a_service_that_is_away_leaves_the_last_good_map_and_says_so(heads: Heads) -> None:
+    a = heads.head(beat=0.1)
+    heads.catalogue.put("v", "k", 1, 1)
+    wait_for(lambda: cell(a, "k") == 1)
+    heads.service.gone()
+    wait_for(lambda: not a.reachable() and a.behind_by() > 0.2)
+    assert a.find("v", "k", soon()) == (1, 1) and a.status()["reachable"] is False
+    with pytest.raises(PlacesError):
+        a.find("v", "other", soon())
+    heads.catalogue.flip("v", "k", 2, 1)        # moved while nobody was told
+    heads.service.start()
+    wait_for(lambda: cell(a, "k") == 2)
+    wait_for(lambda: a.behind_by() == 0)
+
+
+def test_heads_that_lost_the_service_come_back_spread(heads: Heads) -> None:
+    """40 heads, 20 calls a second borne: their watches come back over two seconds and more, not at once."""
+    made = [heads.head(heads=40, peak=20.0) for _ in range(40)]
+    wait_for(lambda: all(p.reachable() for p in made))
+    pauses = sorted(p.stale.lost(time.monotonic()) for p in made)
+    assert pauses[0] >= 2.0 and pauses[-1] - pauses[0] > 2.0
+    assert max(sum(x <= p < x + 1 for p in pauses) for x in pauses) <= 25
+
+
+def test_a_restored_service_is_followed_and_its_heads_keep_what_it_never_knew(tmp_path: Path) -> None:
+    heads = Heads(tmp_path, Catalogue(tmp_path / "map", 4))
+    try:
+        a = heads.head()
+        heads.catalogue.put("v", "k", 1, 1)
+        heads.catalogue.backup(tmp_path / "hour-ago")
+        heads.catalogue.flip("v", "k", 2, 1)
+        heads.catalogue.put("v", "young", 3, 1)
+        wait_for(lambda: (cell(a, "k"), cell(a, "young")) == (2, 3))
+        heads.replace(Catalogue(tmp_path / "hour-ago"))
+        heads.catalogue.put("v", "after", 5, 1)
+        wait_for(lambda: cell(a, "after") == 5)
+        assert (cell(a, "k"), cell(a, "young")) == (2, 3)       # the move holds: data decide
+    finally:
+        heads.close()
+
+
+def test_another_number_of_shards_is_another_map(heads: Heads) -> None:
+    a = heads.head()
+    heads.catalogue.put("v", "k", 1, 1)
+    wait_for(lambda: cell(a, "k") == 1)
+    other = Catalogue(shards=7)
+    other.put("v", "z", 2, 1)
+    heads.replace(other)
+    wait_for(lambda: cell(a, "z") == 2)
+    assert cell(a, "k") is None and len(a.map.shards) == 7
+
+
+@pytest.mark.parametrize("line", [b"{}", b"[" * 5000, b'{"shards": 0}', b'{"shards": 1e9}', b'{"shards": "4"}',
+                                  b'{"shards": 4}\n{"shard": 9, "epoch": 1, "after": 0, "upto": 1, "facts": []}',
+                                  b'{"shards": 4}\n{"shard": 0, "epoch": 0, "after": 2, "upto": 1, "facts": []}'])
+def test_a_watch_that_says_what_can_t_be_ends_and_changes_nothing(heads: Heads, line: bytes) -> None:
+    a = heads.head()
+    heads.catalogue.put("v", "k", 1, 1)
+    wait_for(lambda: cell(a, "k") == 1)
+    heads.service.gone()
+    held, told = a.map, list[bytes]()
+    liar = socket.socket()
+    liar.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    liar.bind(heads.service.address)
+    liar.listen()
+    liar.settimeout(5)
+    try:
+        sock, _ = liar.accept()
+        told.append(sock.recv(4096))
+        body = line + b"\n"
+        sock.sendall(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n" % (len(body), body))
+        assert sock.recv(10) == b""             # the head hangs up
+        sock.close()
+    finally:
+        liar.close()
+    assert told[0].startswith(b"GET /watch?told=") and a.map is held and not a.reachable()
+
+
+@pytest.mark.parametrize("query", ["told=1.1", "told=a.b,1.1,1.1,1.1", "told=-1.0,0.0,0.0,0.0", "", "other=1"])
+def test_a_watch_that_does_not_read_harms_nobody(heads: Heads, query: str) -> None:
+    heads.catalogue.put("v", "k", 1, 1)
+    sock = socket.create_connection(heads.service.address, timeout=5)
+    sock.sendall(f"GET /watch?{query} HTTP/1.1\r\nHost: h\r\n\r\n".encode())
+    assert sock.recv(20).startswith((b"HTTP/1.1 400", b"HTTP/1.1 200"))
+    sock.close()
+    a = heads.head()
+    wait_for(lambda: cell(a, "k") == 1)
+
+
+# ---------------------------------------------------------------- on disk
+
+
+def test_a_restarted_head_serves_from_its_file_and_says_how_old_it_is(heads: Heads) -> None:
+    a = heads.head("disk")
+    for k in range(30):
+        heads.catalogue.put("v", f"x{k}", k % 4, 1)
+    wait_for(lambda: len(a.map) == 30)
+    a.stop()
+    assert a.file is not None and a.file.behind.close()
+    heads.service.gone()
+    b = heads.head("disk")                          # the service is away as it starts
+    assert [b.find("v", f"x{k}", soon()) for k in range(30)] == [(k % 4, 1) for k in range(30)]
+    assert 0 <= b.age() < 30 and b.status()["age_s"] is not None
+    heads.catalogue.flip("v", "x1", 9, 1)
+    heads.service.start()
+    before = heads.service.calls
+    wait_for(lambda: cell(b, "x1") == 9)
+    assert heads.service.calls > before and b.map.shards[0].gap is None
+
+
+def saved(folder: Path, count: int = 2500, more: int = 5) -> ExtentMap:
+    """A map file of `count` extents and a log of `more`."""
+    c, m = Catalogue(shards=4), ExtentMap.empty(4)
+    for k in range(count):
+        c.put(f"v{k % 3}", f"x{k}", k % 5, k)
+    for k in range(4):
+        for delta in c.since(k, (0, 0)):
+            m = m.apply(delta)
+    folder.mkdir(parents=True)
+    write(folder / "map.rec", m, time.time() - 60)
+    writer = Writer(folder / "map.log.rec")
+    for k in range(more):
+        c.put("v0", f"y{k}", 1, 1)
+        for shard in range(4):
+            for delta in c.since(shard, m.shards[shard].told):
+                m = m.apply(delta)
+                writer.put([4, delta])
+    writer.put([6, time.time() - 7])
+    writer.close()
+    c.close()
+    return m
+
+
+def same(a: ExtentMap | None, b: ExtentMap) -> bool:
+    def table(m: ExtentMap) -> dict[tuple[str, str], Any]:
+        return {(f.volume, f.extent): f for f in m.facts()}
+    return a is not None and table(a) == table(b) \
+        and [(s.told, s.ahead, s.floor) for s in a.shards] == [(s.told, s.ahead, s.floor) for s in b.shards]
+
+
+def test_a_file_gives_back_what_was_saved(tmp_path: Path) -> None:
+    m = saved(tmp_path / "d")
+    found = read(tmp_path / "d")
+    assert same(found.map, m) and found.why == "" and 6 < time.time() - found.whole_at < 20
+    assert read(tmp_path / "none") == mapfile.Saved()
+
+
+def test_a_torn_log_is_read_up_to_its_tear_at_every_byte(tmp_path: Path) -> None:
+    m = saved(tmp_path / "d", 20, 3)
+    log = tmp_path / "d" / "map.log.rec"
+    data, sizes = log.read_bytes(), set[int]()
+    for cut in range(8, len(data)):
+        log.write_bytes(data[:cut])
+        found = read(tmp_path / "d")
+        assert found.map is not None and 20 <= len(found.map) <= len(m)
+        sizes.add(len(found.map))
+    assert sizes == {20, 21, 22, 23}
+
+
+@pytest.mark.parametrize("damage", ["end", "byte", "form", "magic", "empty"])
+def test_a_whole_map_that_is_damaged_is_not_used_and_said(tmp_path: Path, damage: str) -> None:
+    saved(tmp_path / "d")
+    path = tmp_path / "d" / "map.rec"
+    data = path.read_bytes()
+    if damage == "form":
+        writer = Writer(path)
+        writer.put([0, 99, 4, 0.0])
+        writer.close()
+    else:
+        path.write_bytes({"end": data[:-9], "byte": data[:5000] + bytes([data[5000] ^ 1]) + data[5001:],
+                          "magic": b"FAWNREC9" + data[8:], "empty": b""}[damage])
+    found = read(tmp_path / "d")
+    assert found.map is None and "map.rec" in found.why
+
+
+def test_a_disk_that_takes_nothing_costs_the_file_and_is_tried_again(
+        heads: Heads, monkeypatch: pytest.MonkeyPatch) -> None:
+    a = heads.head("disk")
+    problems: list[str] = []
+    assert a.file is not None
+    a.file.log = problems.append
+    monkeypatch.setattr(mapfile, "RETRY_S", 0.05)
+    real = mapfile.write
+
+    def full(path: Path, m: Any, at: float) -> None:
+        raise OSError(28, "No space left on device")
+    monkeypatch.setattr(mapfile, "write", full)
+    a.file.due = True
+    heads.catalogue.put("v", "a", 1, 1)
+    wait_for(lambda: cell(a, "a") == 1 and a.file is not None and a.file.problem)
+    heads.catalogue.put("v", "b", 2, 1)
+    wait_for(lambda: problems == ["No space left on device"])
+    assert a.find("v", "b", soon()) == (2, 1)
+    monkeypatch.setattr(mapfile, "write", real)
+    time.sleep(0.1)
+    heads.catalogue.put("v", "c", 3, 1)
+    wait_for(lambda: same(read(heads.tmp / "disk").map, a.map))
+
+
+def test_the_log_does_not_outgrow_the_map(heads: Heads, monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(mapfile, "LOG_LEAST", 50)
+    a = heads.head("disk")
+    wait_for(a.reachable)
+    for n in range(400):
+        heads.catalogue.put("v", "x", n, n)
+        gevent.sleep(0.001)
+    wait_for(lambda: cell(a, "x") == 399)
+    wait_for(lambda: same(read(heads.tmp / "disk").map, a.map))
+    assert (heads.tmp / "disk" / "map.log.rec").stat().st_size < 60 * 200
+
+
+def test_what_a_call_told_is_saved_too(heads: Heads) -> None:
+    a = heads.head("disk")
+    wait_for(a.reachable)
+    heads.catalogue.watchers.clear()            # the watch says nothing more
+    assert a.note("v", "k", 2, 5, False, soon()) and a.note("v", "l", 3, 5, False, soon())
+    wait_for(lambda: same(read(heads.tmp / "disk").map, a.map))
+    assert len(a.map) == 2
+
+
+def test_a_service_that_is_killed_has_every_change_that_it_answered(tmp_path: Path) -> None:
+    """The real process, killed in the middle of changes; its successor is another life, and a head follows."""
+    def start(port: int) -> tuple[subprocess.Popen[str], int]:
+        made = subprocess.Popen(
+            [sys.executable, "-m", "fawnspool.cli", "standin", "catalogue", "--listen", f"127.0.0.1:{port}", "--data",
+             str(tmp_path / "map.lmdb")], cwd=Path(__file__).parents[2], stdout=subprocess.PIPE, text=True)
+        assert made.stdout is not None
+        return made, int(made.stdout.readline().rpartition(":")[2])
+
+    process, port = start(0)
+    places = Places(MapClient(("127.0.0.1", port), 2.0), Terms(), 1, logs.get(), address=("127.0.0.1", port),
+                    timeout=2.0)
+    try:
+        places.start()
+        wait_for(places.reachable)
+        for k in range(200):
+            assert places.note("v", f"x{k}", k % 7, k, False, soon())
+        gevent.spawn_later(0.05, process.kill)
+        done = 200
+        with pytest.raises(PlacesError):
+            for k in range(200, 100_000):
+                places.note("v", f"x{k}", k % 7, k, False, soon())
+                done += 1
+        process.wait()
+        process, _ = start(port)
+        again = MapClient(("127.0.0.1", port), 2.0)
+        for k in range(done):
+            fact = again.fact("v", f"x{k}")
+            assert fact is not None and fact.cell == k % 7
+        wait_for(places.reachable)
+        assert again.flip("v", "x0", 9, 1) is not None
+        wait_for(lambda: cell(places, "x0") == 9)
+    finally:
+        places.stop()
+        process.kill()
+        process.communicate()
+
+
+# ---------------------------------------------------------------- in the running head
+
+
+def test_the_head_tells_how_old_its_map_is_and_finds_what_has_moved(tmp_path: Path) -> None:
+    rig = Rig(tmp_path)
+    try:
+        c = rig.client()
+        assert c.ask("PUT", "/v1/volumes/v/objects/k", b"bytes").status == 201
+        got: Any = c.ask("GET", "/v1/volumes/v/objects/k")
+        assert got.data == b"bytes" and got.getheader("Fawn-Map-Age-Ms") is None
+        place = rig.catalogue.catalogue.find("v", "k")
+        assert place is not None
+        here, there = place[0], 1 - place[0]
+        store = rig.nodes[there].store              # its bytes lie at the other node; the watch is cut off
+        draft = store.draft()
+        draft.add(b"bytes")
+        store.commit(draft, "v", "k")
+        rig.nodes[here].store.delete("v", "k")
+        rig.catalogue.catalogue.watchers.clear()
+        rig.catalogue.catalogue.flip("v", "k", there, 1)
+        got = c.ask("GET", "/v1/volumes/v/objects/k")
+        assert (got.status, got.data) == (200, b"bytes") and rig.head.places.wrong == 1
+        got = c.ask("GET", "/v1/volumes/v/objects/k")       # once it was told, no send goes wrong
+        assert got.data == b"bytes" and rig.head.places.wrong == 1
+        rig.catalogue.gone()
+        wait_for(lambda: rig.head.places.behind_by() > 0, 10)
+        got = c.ask("GET", "/v1/volumes/v/objects/k")
+        assert got.data == b"bytes" and int(got.getheader("Fawn-Map-Age-Ms")) > 1000
+        status = rig.head.status()["map"]
+        assert status["extents"] == 1 and not status["reachable"] and status["wrong_sends"] == 1
+        page = rig.head.figures.page().decode()
+        assert "fawnspool_map_wrong_sends_total 1.0" in page and "fawnspool_map_age_seconds " in page
+    finally:
+        rig.stop()
--- a/tests/e2e/test_services.py
+++ b/tests/e2e/test_services.py
@@ -11,10 +11,11 @@
 
 from fawnspool import interface as i
 from fawnspool.head.lists import ListClient
-from fawnspool.head.locator import CatalogueClient, Locator, LocatorError
 from fawnspool.head.peers import Peers, Seen
+from fawnspool.head.places import MapClient, PlacesError
 from fawnspool.head.workers import Workers
 from fawnspool.records.behind import Behind
+from fawnspool.records.frames import Writer
 from fawnspool.standins.catalogue import Catalogue, CatalogueServer
 from fawnspool.standins.meter import MeterClient, MeterServer
 from fawnspool.standins.node import Repeats
@@ -121,36 +122,38 @@
 
 
 def test_the_catalogue_keeps_places_over_a_restart(tmp_path: Path) -> None:
-    path = tmp_path / "places.rec"
+    path = tmp_path / "places.lmdb"
     server = CatalogueServer(("127.0.0.1", 0), Catalogue(path))
-    client = CatalogueClient(server.address, 0.5)
-    assert client.find("v", "a") is None
-    assert client.put("v", "a", 3, 100) is None and client.put("v", "b/1", 1, 5) is None
-    assert client.put("v", "a", 4, 100, new=True) == (3, 100)       # another came first, and stands
-    assert client.put("v", "a", 4, 200) is None
-    client.drop("v", "b/1")
+    client = MapClient(server.address, 0.5)
+    assert client.fact("v", "a") is None
+    stands, taken = client.note("v", "a", 3, 100)
+    assert taken and (stands.cell, stands.size) == (3, 100) and client.note("v", "b/1", 1, 5)[1]
+    stands, taken = client.note("v", "a", 4, 100, new=True)
+    assert not taken and (stands.cell, stands.size) == (3, 100)     # another came first, and stands
+    assert client.note("v", "a", 4, 200)[1]
+    assert client.drop("v", "b/1") is not None and client.drop("v", "b/1") is None
     assert client.list("v", "", "", 10) == ([("a", 200)], False)
+    with pytest.raises(PlacesError, match="can't be reached"):
+        client.until(time.monotonic() - 1).fact("v", "a")
     server.stop()
-    with pytest.raises(LocatorError, match="can't be reached"):
-        client.find("v", "a")
-    path.write_bytes(path.read_bytes()[:-3])                         # a torn last change
+    with pytest.raises(PlacesError, match="can't be reached"):
+        client.fact("v", "a")
+    server.catalogue.close()
     again = Catalogue(path)
-    assert again.find("v", "a") == (4, 200) and again.find("v", "b/1") == (1, 5)
-
-
-def test_a_locator_asks_once_and_again_when_told() -> None:
-    source = Catalogue()
-    source.put("v", "a", 1, 10)
-    locator, soon = Locator(source, 2), time.monotonic() + 5
-    assert locator.find("v", "a", soon) == locator.find("v", "a", soon) == (1, 10) and locator.asked == 1
-    source.put("v", "a", 2, 10)
-    assert locator.find("v", "a", soon) == (1, 10) and locator.find("v", "a", soon, fresh=True) == (2, 10)
-    assert not locator.note("v", "a", 3, 10, True, soon) and locator.find("v", "a", soon) == (2, 10)
-    for k in range(5):
-        assert locator.note("v", str(k), k, 1, False, soon)
-    assert len(locator.places) == 2
-    locator.drop("v", "4", soon)
-    assert locator.find("v", "4", soon) is None
+    assert again.find("v", "a") == (4, 200) and again.find("v", "b/1") is None
+    again.close()
+
+
+def test_a_catalogue_of_the_form_before_is_taken_over(tmp_path: Path) -> None:
+    path = tmp_path / "places.rec"
+    writer = Writer(path)
+    for row in (["v", "a", 3, 100], ["v", "b", 1, 5], ["v", "a", 4, 200], ["v", "b", -1, 0]):
+        writer.put(row)
+    writer.close()
+    made = Catalogue(path)
+    assert made.find("v", "a") == (4, 200) and made.find("v", "b") is None
+    assert (tmp_path / "places.rec.before-lmdb").exists()
+    made.close()
 
 
 def test_the_meter_adds_up_over_nodes() -> None:
--- a/tests/test_stale.py
+++ b/tests/test_stale.py
@@ -136,3 +136,30 @@
             s.answered(now, f"v{n % 7}", str(n), pause)
         assert len(s.asking) <= 8 and 0 <= s.wrong <= 1 and s.tokens >= 0
         assert all(0 <= s.chance(now, k) <= 1 for k in range(4))
+
+
+def test_while_the_watch_is_lost_no_shard_is_asked_about_until_its_pause_is_over() -> None:
+    s = knows(moves=50)
+    pause = s.lost(20.0)
+    for volume in "abcdefgh":
+        assert s.chance(20.0, shard_of(volume, 4)) > 0
+        assert s.choose(20.0 + pause * 0.99, MAP, volume, "x", 2.0) is Do.SEND
+    assert s.refused == 8
+    assert {s.choose(20.0 + pause * 1.01 + k, MAP, volume, "x", 2.0) for k, volume in enumerate("abcdefgh")} == {
+        Do.ASK_FIRST}
+
+
+def test_a_map_from_disk_is_doubted_until_the_service_has_been_heard() -> None:
+    s = Staleness(Terms(), 4, 1)
+    s.saved(100.0, 60.0)
+    assert s.age(100.0) == 60.0 and s.chance(100.0, 0) == s.terms.beside
+    assert s.choose(100.0, MAP, "v", "x", 2.0) is Do.ASK_BESIDE
+    for shard in range(4):
+        s.told(101.0, shard, True, 0, 100, 0.0)
+    assert s.chance(101.0, 0) == 0.0 and s.age(101.0) == 0.0
+
+
+def test_a_question_that_goes_first_leaves_the_send_its_time() -> None:
+    s = knows()
+    assert s.first_within(10.0) == s.WAITS * s.ask_s
+    assert s.first_within(s.wrong_s + 0.001) == pytest.approx(0.001) and s.first_within(0.0) == 0.0
