Move objects between nodes under reads and writes, resumed by any mover

extents/copies.py and moves.py had no node that spoke them. Nodes now keep who serves what, copy with idempotency keys, fence and answer 421 or 425; head/mover.py takes the steps; the API sends on within the client's time; extents show and move. Found by a test on real nodes: a node that forgot its rows after it had opened was left unserved, as a mover took the map's word. Found by reading what a mutation left green: by the map alone a source that forgot its fence served beside the new node (moving.Sides; the data say it now too); a node that forgot would take a write of what lay elsewhere; a late note could bring the old place back (catalogue.note).

--- a/fawnspool/api/objects.py
+++ b/fawnspool/api/objects.py
@@ -15,6 +15,7 @@
 from typing import Any
 from urllib.parse import parse_qsl, unquote_to_bytes
 
+import gevent
 import xxhash
 
 from fawnspool.config.head import HeadConfig
@@ -23,10 +24,11 @@
 from fawnspool.head.places import PlacesError
 from fawnspool.net.http import BadMessage, Limits
 from fawnspool.net.http import Head as MessageHead
-from fawnspool.net.nodewire import target
+from fawnspool.net.nodewire import MOVED, read_moved, target
 from fawnspool.net.server import Exchange, Server, address
 
 KEY_MOST = 300
+FOLLOWED = 12           # submissions of one request after an extent that moves, at most
 _JSON = (b"Content-Type", b"application/json")
 _BINARY = (b"Content-Type", b"application/octet-stream")
 _TOKEN = re.compile(rb"[A-Za-z0-9._-]{1,64}")
@@ -226,18 +228,18 @@
         cls = self._class(exchange, self.default_read)
         deadline = self._check(exchange, cls)
         self._drain_body(exchange)
-        went, at = None, time.monotonic()
+        stat, went, began = exchange.head.method == b"HEAD", (-1, 0), 0.0
         for fresh in (False, True):
+            at = time.monotonic()
             place = self._find(volume, key, deadline, fresh)
             if fresh and place != went:
-                self.head.places.sent(False, time.monotonic() - at)
+                self.head.places.sent(False, at - began)
             if place is None:
                 raise ApiError(404, "no-such-object", f"volume {volume!r} holds no {key!r}")
-            went, at = place, time.monotonic()
-            stat = exchange.head.method == b"HEAD"
-            pending = self._submit(exchange, volume, key, cls, method=b"GET", body=Body(b"", 0), cell=place[0],
-                                   size=0 if stat else self._asked(exchange, place[1]), query=b"?stat" if stat else b"")
-            self._wait(pending)
+            went, began = place, at
+            pending = self._followed(exchange, volume, key, place, lambda p: self._submit(
+                exchange, volume, key, cls, method=b"GET", body=Body(b"", 0), cell=p[0],
+                size=0 if stat else self._asked(exchange, p[1]), query=b"?stat" if stat else b""))
             gone = pending.kind is Kind.SERVED and pending.answer is not None and pending.answer.status == 404
             if not gone:
                 self.head.places.sent(True, 0.0)
@@ -245,6 +247,27 @@
                 return self._finish(pending)
             self.head.finished(pending, "moved")    # the place was old: ask the catalogue, once
 
+    def _followed(self, exchange: Exchange, volume: str, key: str, place: tuple[int, int],
+                  submit: Callable[[tuple[int, int]], Pending], again: bool = True) -> Pending:
+        """Submit and wait; where nodes say that the extent has moved (nothing was done there), submit to where it went,
+        or once more where it is about to open. Each is a request of its own to the module; the client gets one answer.
+        Raises ApiError where its time is up. again: may it be submitted twice?"""
+        for turn in range(FOLLOWED):
+            pending = submit(place)
+            self._wait(pending)
+            answer = pending.answer
+            if pending.kind is not Kind.SERVED or answer is None or answer.status not in (421, 425):
+                return pending
+            self.head.finished(pending, "moved")
+            to = read_moved(answer.headers.get(MOVED)) if answer.status == 421 else None
+            if to is not None:
+                place = self.head.places.moved(volume, key, *to)
+            pause = 0.0 if to is not None and not turn else self.head.places.stale.again_in(turn)
+            if not again or time.monotonic() + pause >= pending.deadline:
+                break
+            gevent.sleep(pause)
+        raise ApiError(503, "moving", "the object is being moved and no node serves it yet: nothing was done")
+
     def _asked(self, exchange: Exchange, size: int) -> int:
         """Bytes that a request will read, roughly: for its units."""
         found = re.match(rb"bytes=(\d{1,15})-(\d{1,15})$", exchange.head.headers.get(b"range", b""))
@@ -257,16 +280,21 @@
             raise ApiError(413, "too-large", f"a body has {c.largest_body} bytes at most")
         place = self._find(volume, key, self._check(exchange, cls))
         body, size = self._body(exchange), head.length
-        pending = self._submit(exchange, volume, key, cls, method=b"PUT", body=body,
-                               cell=-1 if place is None else place[0], size=size)
-        self._wait(pending)
+        sent_at = -1                # generation of the place that it was sent to
+
+        def submit(p: tuple[int, int]) -> Pending:
+            nonlocal sent_at
+            sent_at = self.head.places.generation(volume, key)
+            return self._submit(exchange, volume, key, cls, method=b"PUT", body=body, cell=p[0], size=size)
+
+        pending = self._followed(exchange, volume, key, place or (-1, 0), submit, again=body.rest is None)
         answer = pending.answer
         if pending.kind is Kind.SERVED and answer is not None and answer.status in (200, 201):
             self.head.metrics.bytes_in += exchange.seen
             new = head.headers.get(b"if-none-match", b"").strip() == b"*"
             try:
                 until = pending.deadline + self.config.clients.answer_margin / 2
-                if not self.head.places.note(volume, key, pending.cell, exchange.seen, new, until):
+                if not self.head.places.note(volume, key, pending.cell, exchange.seen, new, until, sent_at):
                     pending.answer = Answer(412, {})
             except PlacesError as bad:
                 self.head.log.error("written, but its place can't be noted", volume=volume, key=key, error=str(bad))
@@ -307,8 +335,8 @@
         place = self._find(volume, key, deadline, True)
         if place is None:
             raise ApiError(404, "no-such-object", f"volume {volume!r} holds no {key!r}")
-        pending = self._submit(exchange, volume, key, cls, method=b"DELETE", body=Body(b"", 0), cell=place[0], size=0)
-        self._wait(pending)
+        pending = self._followed(exchange, volume, key, place, lambda p: self._submit(
+            exchange, volume, key, cls, method=b"DELETE", body=Body(b"", 0), cell=p[0], size=0))
         if pending.kind is Kind.SERVED and pending.answer is not None and pending.answer.status in (204, 404):
             try:
                 self.head.places.drop(volume, key, pending.deadline + self.config.clients.answer_margin / 2)
--- /dev/null
+++ b/fawnspool/cli/extents.py
@@ -0,0 +1,110 @@
+"""`fawnspool extents`: where an extent lies, and moving it."""
+from __future__ import annotations
+
+import time
+from typing import Any
+
+import click
+import msgspec
+
+from fawnspool.cli.common import BROKEN, EXIT_CODES, UNREACHED, config_error, fail, print_json, table
+from fawnspool.config.head import HeadConfig, check
+from fawnspool.config.schema import ConfigError, load
+from fawnspool.extents.facts import Fact
+from fawnspool.extents.moves import Step
+from fawnspool.head.lists import Told
+from fawnspool.head.mover import Mover
+from fawnspool.head.places import MapClient, PlacesError
+from fawnspool.net.client import Broken, NotReached, Pool, call
+from fawnspool.net.http import BadMessage
+from fawnspool.net.server import address
+
+
+class _Fleet:
+    """The services that a head's settings name, as a command needs them."""
+
+    def __init__(self, config_file: str) -> None:
+        try:
+            config = load(config_file, HeadConfig, check)
+        except ConfigError as bad:
+            config_error(bad, False)
+        if config.embedded is not None:
+            fail(f"{config_file}: a head with embedded nodes has its map inside; nothing can be moved from here")
+        self.volumes = {v.name for v in config.volume}
+        self.places = MapClient(address(config.catalogue.address), config.catalogue.call_timeout)
+        self.nodes = self._listed(config.list.address, config.list.call_timeout)
+
+    def _listed(self, where: str, timeout: float) -> dict[int, tuple[str, int]]:
+        """Addresses by cell, of the nodes that take work."""
+        try:
+            status, data = call(Pool(address(where), 1, timeout, 1.0), b"GET", b"/list", time.monotonic() + timeout)
+            if status.code != 200:
+                fail(f"the node list at {where} answered {status.code}", UNREACHED)
+            rows = msgspec.json.decode(data, type=Told).entries
+        except (NotReached, Broken, BadMessage, TimeoutError, msgspec.MsgspecError) as bad:
+            fail(f"the node list at {where} can't be read: {bad or type(bad).__name__}", UNREACHED)
+        return {r.cell: address(r.address) for r in rows if r.phase != "gone"}
+
+    def fact(self, volume: str, key: str) -> Fact:
+        if volume not in self.volumes:
+            fail(f"there is no volume {volume!r}; known: {', '.join(sorted(self.volumes))}")
+        try:
+            found = self.places.fact(volume, key)
+        except PlacesError as bad:
+            fail(str(bad), UNREACHED)
+        if found is None:
+            fail(f"the map holds no {volume}/{key}", BROKEN)
+        return found
+
+    def mover(self) -> Mover:
+        return Mover(self.nodes.get, self.places)
+
+
+@click.group("extents", epilog=EXIT_CODES)
+def command() -> None:
+    """Where extents lie, and moving them. CONFIG is a head's settings file: it names the services."""
+
+
+@command.command("show")
+@click.argument("config_file", metavar="CONFIG", type=click.Path(dir_okay=False))
+@click.argument("volume")
+@click.argument("key")
+@click.option("--json", "as_json", is_flag=True, help="For programs.")
+def show(config_file: str, volume: str, key: str, as_json: bool) -> None:
+    """What the map says of an extent, and what each listed node does."""
+    fleet = _Fleet(config_file)
+    fact, mover = fleet.fact(volume, key), fleet.mover()
+    rows: list[dict[str, Any]] = []
+    for cell in sorted(fleet.nodes):
+        seen = mover.look(cell, volume, key)
+        rows.append({"cell": cell, "role": "no answer"} if seen is None else {
+            "cell": cell, "role": seen.role.value, "generation": seen.generation, "to": seen.to,
+            "position": seen.position})
+    if as_json:
+        return print_json({"volume": volume, "key": key, "cell": fact.cell, "generation": fact.stamp.generation,
+                           "epoch": fact.stamp.epoch, "version": fact.stamp.version, "size": fact.size, "nodes": rows})
+    click.echo(f"{volume}/{key}: cell {fact.cell}, generation {fact.stamp.generation}, {fact.size} bytes; "
+               f"said in epoch {fact.stamp.epoch} as version {fact.stamp.version}")
+    names = ["cell", "role", "generation", "to", "position"]
+    table("Nodes", names, [[row.get(n, "-") for n in names] for row in rows])
+
+
+@command.command("move")
+@click.argument("config_file", metavar="CONFIG", type=click.Path(dir_okay=False))
+@click.argument("volume")
+@click.argument("key")
+@click.option("--to", "to", type=click.IntRange(0), required=True, help="Cell that it is to lie in.")
+@click.option("--within", type=click.FloatRange(0.1), default=30.0, help="Seconds; the same again goes on from there.")
+def move(config_file: str, volume: str, key: str, to: int, within: float) -> None:
+    """Move an extent while it is read and written. Exit code 1: another move has won, or it has gone."""
+    fleet = _Fleet(config_file)
+    fleet.fact(volume, key)
+    if to not in fleet.nodes:
+        fail(f"cell {to} has no node in the list; cells with one: {', '.join(map(str, sorted(fleet.nodes)))}")
+    end = fleet.mover().move(volume, key, to, time.monotonic() + within)
+    if end is Step.DONE:
+        return click.echo(f"{volume}/{key} lies in cell {to}")
+    if end is Step.LOST:
+        fail("another move of it has won, or it has gone: see `fawnspool extents show`", BROKEN)
+    fail(f"not done within {within:g} s: a node or the map service does not answer; the same again goes on from there",
+         UNREACHED)
--- a/fawnspool/cli/main.py
+++ b/fawnspool/cli/main.py
@@ -15,6 +15,7 @@
     "rules": "Judge the seven rules from recordings.",
     "replay": "Feed a module's recording to a fresh module and compare.",
     "model": "Play days in simulated time; compare two versions or settings.",
+    "extents": "Show where an extent lies; move it.",
     "status": "Ask a running head what it thinks of each node.",
 }
 
--- a/fawnspool/extents/copies.py
+++ b/fawnspool/extents/copies.py
@@ -149,11 +149,15 @@
     def reopen(self, generation: int) -> Answer:
         """Undo a fence whose new node was cancelled at that generation: serve again, one above it."""
         if self.role is not Role.FENCED or self.generation != generation or self.fence > self.position or \
-                len(self.log) != self.position:
+                not self.all_there():
             return Answer.NO
         self.role, self.generation, self.to, self.fence = Role.OWNER, generation + 1, -1, -1
         return Answer.DONE
 
+    def all_there(self) -> bool:
+        """Has it all that it took in, so that it could serve again?"""
+        return len(self.log) == self.position
+
     # ------------------------------------------------------------ memory lost
 
     def lost(self) -> None:
--- a/fawnspool/extents/stale.py
+++ b/fawnspool/extents/stale.py
@@ -166,6 +166,10 @@
         for s in self.shards:
             s.whole = now - age
 
+    def again_in(self, turn: int) -> float:
+        """A place that is being opened did not serve yet: seconds until the next try, longer each time."""
+        return self.ask_s * 2.0 ** min(turn, 6) * self.random.uniform(0.5, 1.0)
+
     def first_within(self, patience: float) -> float:
         """How long a question that goes first may take before the send goes without its answer: a few usual ones, and
         never what the send itself needs."""
--- /dev/null
+++ b/fawnspool/head/mover.py
@@ -0,0 +1,152 @@
+"""Carries out moves: looks at both nodes and the map, takes the step that `extents/moves.py` finds, looks again.
+
+It keeps nothing that it needs: one that was killed is resumed by calling `move` again, here or elsewhere.
+"""
+from __future__ import annotations
+
+import time
+from collections.abc import Callable
+from urllib.parse import urlencode
+
+import gevent
+import msgspec
+
+from fawnspool.extents.copies import Role
+from fawnspool.extents.facts import Fact
+from fawnspool.extents.moves import Move, Seen, Step, next_step
+from fawnspool.head.places import MapClient, PlacesError
+from fawnspool.net.client import Broken, NotReached, Pool, call
+from fawnspool.net.http import BadMessage
+
+LEAST_S, MOST_S = 0.005, 0.5    # between two looks at nodes that do not answer or are unsure
+_BAD = (NotReached, Broken, BadMessage, TimeoutError, msgspec.MsgspecError, PlacesError)
+
+
+class _Told(msgspec.Struct):
+    role: str
+    generation: int
+    position: int
+    to: int
+    fence: int
+    kept: bool
+
+
+class Mover:
+    """`where(cell)`: the address of the node that serves a cell, None: there is none now. taken(step): called before
+    each step, for whoever wants to see or to stop it."""
+
+    def __init__(self, where: Callable[[int], tuple[str, int] | None], places: MapClient, timeout: float = 2.0,
+                 taken: Callable[[Step], None] = lambda step: None) -> None:
+        self.where, self.places, self.timeout, self.taken = where, places, timeout, taken
+        self.pools: dict[tuple[str, int], Pool] = {}
+
+    def move(self, volume: str, extent: str, to: int, deadline: float, undo: bool = False,
+             last: Move | None = None) -> Step:
+        """Bring the extent to a cell, or give that up where that is still safe: DONE, LOST (another move has won, or
+        there is nothing to move), or WAIT where the deadline (monotonic) came first. last: a move that was begun."""
+        move, pause = last, LEAST_S
+        while time.monotonic() < deadline:
+            step = Step.WAIT
+            try:
+                if move is None:
+                    fact = self.places.fact(volume, extent)
+                    if fact is None:
+                        return Step.LOST
+                    if fact.cell == to:
+                        if self._serves(volume, extent, fact):
+                            return Step.DONE
+                        raise NotReached("its node is away or unsure")
+                    move = Move(fact.cell, to, fact.stamp.generation + 1)
+                step = self._once(move, volume, extent, undo)
+            except _BAD:
+                pass                # a node or the service is away: look again
+            if step in (Step.DONE, Step.LOST):
+                return step
+            if step is Step.WAIT:
+                gevent.sleep(min(pause, max(0.0, deadline - time.monotonic())))
+                pause = min(2 * pause, MOST_S)
+            else:
+                pause = LEAST_S
+        return Step.WAIT
+
+    def _serves(self, volume: str, extent: str, fact: Fact) -> bool:
+        """Does the node serve what the map says lies there? One that is unsure is told."""
+        seen = self.look(fact.cell, volume, extent)
+        if seen is not None and seen.role is Role.UNSURE:
+            return self._step(fact.cell, volume, extent, "confirm", fact.stamp.generation, mine=True)
+        return seen is not None and seen.role is Role.OWNER
+
+    def _once(self, move: Move, volume: str, extent: str, undo: bool) -> Step:
+        fact = self.places.fact(volume, extent)
+        mapped = move.generation if fact is None else fact.stamp.generation      # deleted: nobody needs the flip
+        source, dest = self.look(move.source, volume, extent), self.look(move.to, volume, extent)
+        if fact is not None and source is not None and source.generation < 0 and source.role is Role.OWNER and \
+                mapped == move.generation - 1 and fact.cell == move.source:
+            self._step(move.source, volume, extent, "own", mapped)
+            return Step.COPY
+        for cell, seen in ((move.source, source), (move.to, dest)):
+            if fact is not None and seen is not None and seen.role is Role.UNSURE:
+                # Data of the move's own generation at its new node: it had opened, and the fence names it.
+                opened = cell == move.to and seen.generation == move.generation and source is not None and \
+                    source.role is Role.FENCED and (source.generation, source.to) == (move.generation, move.to)
+                self._step(cell, volume, extent, "confirm", move.generation if opened else fact.stamp.generation,
+                           mine=opened or fact.cell == cell)
+                return Step.COPY
+        step = next_step(move, source, dest, mapped, undo)
+        if fact is None and step is Step.LOST:
+            return step
+        self.taken(step)
+        self._take(step, move, volume, extent, source)
+        return step
+
+    def _take(self, step: Step, move: Move, volume: str, extent: str, source: Seen | None) -> None:
+        g = move.generation
+        if step is Step.FILL:
+            self._step(move.to, volume, extent, "fill", g)
+        elif step in (Step.COPY, Step.CATCH_UP):
+            self._copy(move, volume, extent)
+        elif step is Step.FENCE:
+            self._step(move.source, volume, extent, "close", g, to=move.to)
+        elif step is Step.OPEN:
+            assert source is not None
+            self._step(move.to, volume, extent, "open", g, fence=source.fence)
+        elif step is Step.FLIP:
+            self.places.flip(volume, extent, move.to, g)
+        elif step is Step.FORGET:
+            self._step(move.source, volume, extent, "forget", g)
+        elif step is Step.CANCEL:
+            self._step(move.to, volume, extent, "cancel", g)
+        elif step is Step.REOPEN and self._step(move.source, volume, extent, "reopen", g):
+            self.places.flip(volume, extent, move.source, g + 1)
+
+    # ------------------------------------------------------------ nodes
+
+    def _call(self, cell: int, method: bytes, place: str, volume: str, extent: str, body: bytes = b"",
+              **more: int) -> tuple[int, bytes]:
+        where = self.where(cell)
+        if where is None:
+            raise NotReached(f"cell {cell} has no node")
+        pool = self.pools.setdefault(where, Pool(where, 8, self.timeout, 10.0))
+        target = f"{place}?{urlencode({'volume': volume, 'key': extent, **more})}".encode()
+        status, data = call(pool, method, target, time.monotonic() + self.timeout, body)
+        return status.code, data
+
+    def look(self, cell: int, volume: str, extent: str) -> Seen | None:
+        """The node's side of the extent; None: it does not answer."""
+        try:
+            code, data = self._call(cell, b"GET", "/-/extent", volume, extent)
+            if code != 200:
+                return None
+            t = msgspec.json.decode(data, type=_Told)
+            return Seen(Role(t.role), t.generation, t.position, t.to, t.fence, t.kept)
+        except (*_BAD, ValueError):
+            return None
+
+    def _step(self, cell: int, volume: str, extent: str, step: str, generation: int, **more: int) -> bool:
+        asked = msgspec.json.encode({"step": step, "generation": generation, **more})
+        return self._call(cell, b"POST", "/-/extent", volume, extent, asked)[0] == 200
+
+    def _copy(self, move: Move, volume: str, extent: str) -> None:
+        code, data = self._call(move.source, b"GET", "/-/extent/data", volume, extent)
+        if code == 200:
+            self._call(move.to, b"PUT", "/-/extent/data", volume, extent, data, generation=move.generation)
--- a/fawnspool/head/nodespeech.py
+++ b/fawnspool/head/nodespeech.py
@@ -10,7 +10,7 @@
 from fawnspool.net.http import Status, request_bytes
 from fawnspool.net.nodewire import CALL, TOLD, Call, read_told
 
-_FINAL = frozenset((200, 201, 204, 206, 304, 404, 412, 416))    # what a node answers to a request it understood
+_FINAL = frozenset((200, 201, 204, 206, 304, 404, 412, 416, 421, 425))     # of a request that the node understood
 
 
 class NodeSpeech:
--- a/fawnspool/head/places.py
+++ b/fawnspool/head/places.py
@@ -12,7 +12,7 @@
 import gevent
 import msgspec
 
-from fawnspool.extents.facts import Delta, DeltaError, Fact
+from fawnspool.extents.facts import Delta, DeltaError, Fact, Stamp, State
 from fawnspool.extents.map import ExtentMap, shard_of
 from fawnspool.extents.stale import Do, Staleness, Terms
 from fawnspool.head.listlink import ListLink
@@ -35,7 +35,8 @@
 
     def fact(self, volume: str, key: str) -> Fact | None: ...
 
-    def note(self, volume: str, key: str, cell: int, size: int, new: bool = False) -> tuple[Fact, bool]: ...
+    def note(self, volume: str, key: str, cell: int, size: int, new: bool = False,
+             generation: int = -1) -> tuple[Fact, bool]: ...
 
     def drop(self, volume: str, key: str) -> Fact | None: ...
 
@@ -66,8 +67,10 @@
         found: Fact | None = self._call(b"/find", Fact, volume=volume, key=key)[1]
         return found
 
-    def note(self, volume: str, key: str, cell: int, size: int, new: bool = False) -> tuple[Fact, bool]:
-        status, stands = self._call(b"/put", Fact, volume=volume, key=key, cell=cell, size=size, new=new)
+    def note(self, volume: str, key: str, cell: int, size: int, new: bool = False,
+             generation: int = -1) -> tuple[Fact, bool]:
+        status, stands = self._call(b"/put", Fact, volume=volume, key=key, cell=cell, size=size, new=new,
+                                    generation=generation)
         return stands, status == 200
 
     def drop(self, volume: str, key: str) -> Fact | None:
@@ -275,12 +278,27 @@
         self.wrong += not right
         self.stale.sent(right, cost)
 
-    def note(self, volume: str, key: str, cell: int, size: int, new: bool, deadline: float) -> bool:
-        """A write left the object there; False: with `new`, another one came first. Raises PlacesError."""
+    def generation(self, volume: str, key: str) -> int:
+        """Of the place that the map has; -1: none."""
+        found = self.map.find(volume, key)
+        return -1 if found is None else found.stamp.generation
+
+    def moved(self, volume: str, key: str, cell: int, generation: int) -> tuple[int, int]:
+        """A node said where the extent went: (cell, size). The service's own word on that generation will be later."""
+        had = self.map.find(volume, key)
+        self.wrong += 1
+        size = 0 if had is None else had.size
+        self._hint(Fact(volume, key, cell, Stamp(generation, 0, 0), State.HELD, size))
+        return cell, size
+
+    def note(self, volume: str, key: str, cell: int, size: int, new: bool, deadline: float,
+             generation: int = -1) -> bool:
+        """A write left the object there, sent to the place of that generation; False: with `new`, another one came
+        first. Raises PlacesError."""
         had = self.map.find(volume, key)
         if had is not None and (had.cell, had.size) == (cell, size) and not self.behind_by():
             return True
-        stands, taken = self._until(deadline).note(volume, key, cell, size, new)
+        stands, taken = self._until(deadline).note(volume, key, cell, size, new, generation)
         self._hint(stands)
         return taken
 
--- a/fawnspool/net/http.py
+++ b/fawnspool/net/http.py
@@ -15,7 +15,8 @@
     304: b"Not Modified", 400: b"Bad Request", 403: b"Forbidden", 404: b"Not Found",
     405: b"Method Not Allowed", 408: b"Request Timeout", 409: b"Conflict", 411: b"Length Required",
     412: b"Precondition Failed", 413: b"Content Too Large", 414: b"URI Too Long",
-    416: b"Range Not Satisfiable", 417: b"Expectation Failed", 431: b"Request Header Fields Too Large",
+    416: b"Range Not Satisfiable", 417: b"Expectation Failed",
+    421: b"Misdirected Request", 425: b"Too Early", 431: b"Request Header Fields Too Large",
     500: b"Internal Server Error", 501: b"Not Implemented", 502: b"Bad Gateway",
     503: b"Service Unavailable", 504: b"Gateway Timeout", 505: b"HTTP Version Not Supported"}
 STATUS_LINES = {code: b"HTTP/1.1 %d %s\r\n" % (code, text) for code, text in REASONS.items()}
--- a/fawnspool/net/nodewire.py
+++ b/fawnspool/net/nodewire.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass
 from urllib.parse import quote, unquote
 
-CALL, TOLD = b"fawn-call", b"fawn-told"
+CALL, TOLD, MOVED = b"fawn-call", b"fawn-told", b"fawn-moved"
 
 
 @dataclass(slots=True)
@@ -61,6 +61,12 @@
                 tuple(float(x) for x in load.split(",")) if load else (), full == "1")
 
 
+def read_moved(raw: bytes | None) -> tuple[int, int] | None:
+    """(cell, generation) that an extent has moved to; None where that is not said."""
+    cell, _, generation = (raw or b"").partition(b";")
+    return (int(cell), int(generation)) if cell.isdigit() and generation.isdigit() and len(raw or b"") < 32 else None
+
+
 def target(volume: str, key: str) -> bytes:
     return f"/o/{quote(volume, safe='')}/{quote(key, safe='')}".encode()
 
--- a/fawnspool/standins/catalogue.py
+++ b/fawnspool/standins/catalogue.py
@@ -145,8 +145,11 @@
         found = self.fact(volume, key)
         return None if found is None else (found.cell, found.size)
 
-    def note(self, volume: str, key: str, cell: int, size: int, new: bool = False) -> tuple[Fact, bool]:
-        """A write left the extent there: (what holds now, was it taken?). With `new` the first place stands."""
+    def note(self, volume: str, key: str, cell: int, size: int, new: bool = False,
+             generation: int = -1) -> tuple[Fact, bool]:
+        """A write left the extent there: (what holds now, was it taken?). With `new` the first place stands.
+        generation: that of the place to which the write was sent, -1: it had none. Where a move has overtaken it, the
+        move took the write along: only its size is noted."""
         stands: list[Fact] = []
 
         def choose(had: Fact | None, stamp: Stamp) -> Fact | None:
@@ -154,6 +157,10 @@
             if there is not None and ((new and there.cell != cell) or (there.cell, there.size) == (cell, size)):
                 stands.append(there)
                 return None
+            if there is not None and 0 <= generation < there.stamp.generation:
+                return replace(there, stamp=stamp, size=size)
+            # A write of a later generation says that a move has come so far, before its mover does.
+            stamp = replace(stamp, generation=max(stamp.generation, generation))
             return Fact(volume, key, cell, stamp, State.HELD, size)
 
         made = self._change(volume, key, choose)
@@ -292,7 +299,7 @@
             found = c.fact(a["volume"], a["key"])
             return (200, found) if found is not None else (404, {})
         if path == "/put":
-            stands, taken = c.note(a["volume"], a["key"], a["cell"], a["size"], a["new"])
+            stands, taken = c.note(a["volume"], a["key"], a["cell"], a["size"], a["new"], a.get("generation", -1))
             return 200 if taken else 409, stands
         if path == "/drop":
             return 200, c.drop(a["volume"], a["key"])
--- /dev/null
+++ b/fawnspool/standins/moving.py
@@ -0,0 +1,173 @@
+"""A node's side of moves: which extents it serves, kept over a restart. The rules are `extents/copies.py`'s.
+
+An extent that never took part in a move has no row: the node serves what it stores. A row is written before what it
+says is done, so a kill in between leaves the node more careful, never less: a position may count a write that did not
+come. The file of rows is begun with the folder, and a mark beside it says so: where the mark stands and the file is
+gone, the node has forgotten who serves what. Then the data still tell what was fenced, as that is kept with them; of
+all else, also of what it does not hold (it may have gone elsewhere), the node is unsure and serves nothing of it until
+it is told.
+"""
+from __future__ import annotations
+
+import os
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+from fawnspool.extents.copies import Answer, Copy, Role
+from fawnspool.extents.moves import CLOSE, Seen
+from fawnspool.records.frames import Reader, Writer
+from fawnspool.standins.store import Store
+
+LONG = 1000             # rows beyond twice the extents after which the file is written anew at a start
+
+
+@dataclass(slots=True)
+class Side(Copy):
+    """A copy held as one object: `position` counts writes, and what is kept is the object itself."""
+
+    kept: bool = True
+
+    def all_there(self) -> bool:
+        return self.kept
+
+    def own(self, generation: int) -> Answer:
+        """The first position is so far on that a copy comes before a fence, however few writes there were."""
+        done = Copy.own(self, generation)
+        if done is Answer.DONE:
+            self.position = CLOSE + 1
+        return done
+
+    def fill(self, generation: int) -> Answer:
+        done = Copy.fill(self, generation)
+        if done is Answer.DONE and self.position == 0:
+            self.kept = True
+        return done
+
+    def whole(self, generation: int, position: int) -> Answer:
+        """The object as it was at a position of the source; an older one changes nothing."""
+        if self.role is not Role.FILLING or self.generation != generation:
+            return Answer.NO
+        self.position = max(self.position, position)
+        return Answer.DONE
+
+    def forget(self, generation: int) -> Answer:
+        done = Copy.forget(self, generation)
+        if done is Answer.DONE:
+            self.kept = False
+        return done
+
+    def seen(self) -> Seen:
+        return Seen(self.role, self.generation, self.position, self.to, self.fence, self.kept)
+
+
+class Sides:
+    """All rows of one node."""
+
+    def __init__(self, folder: Path, store: Store) -> None:
+        self.store, self.path, mark = store, folder / "moves.rec", folder / "moves.begun"
+        folder.mkdir(parents=True, exist_ok=True)
+        self.forgot = mark.exists() and not self.path.exists()
+        self.rows: dict[tuple[str, str], Side] = {}
+        count = 0
+        if self.path.exists():
+            for volume, extent, role, generation, to, position, fence, kept in Reader(self.path):
+                self.rows[volume, extent] = Side(Role(role), generation, to, [], position, fence, kept)
+                count += 1
+        if count > 2 * len(self.rows) + LONG:
+            draft = folder / "moves.draft"
+            writer = Writer(draft)
+            for name, side in self.rows.items():
+                writer.add(self._row(name, side))
+            writer.close()
+            os.replace(draft, self.path)
+        # A node that has forgotten begins no new file: at its next start it must still know that it has.
+        self.writer = Writer(self.path, keep=True) if not self.forgot else None
+        mark.touch()
+
+    @staticmethod
+    def _row(name: tuple[str, str], s: Side) -> list[Any]:
+        return [*name, s.role.value, s.generation, s.to, s.position, s.fence, s.kept]
+
+    def side(self, volume: str, extent: str) -> Side:
+        """As it is; one without a row is made, not kept."""
+        found = self.rows.get((volume, extent))
+        if found is not None:
+            return found
+        meta = self.store.find(volume, extent)
+        if not self.forgot:
+            return Side(Role.OWNER if meta is not None else Role.ABSENT)
+        if meta is None:
+            return Side(Role.UNSURE, kept=False)
+        generation, to, fence = meta.side
+        return Side(Role.UNSURE if to < 0 else Role.FENCED, generation, to, [], max(fence, 0), fence)
+
+    def answer(self, volume: str, extent: str) -> Answer:
+        """May a request be done here? What the node never heard of is served, as a new one begins that way."""
+        found = self.rows.get((volume, extent))
+        if found is None:
+            if not self.forgot:
+                return Answer.DONE
+            found = self.side(volume, extent)
+        if found.role in (Role.OWNER, Role.ABSENT):
+            return Answer.DONE
+        return Answer.MOVED if found.role is Role.FENCED else Answer.NOT_YET
+
+    def writes(self, volume: str, extent: str) -> None:
+        """A write is about to be done."""
+        found = self.rows.get((volume, extent))
+        if found is not None and found.role is Role.OWNER:
+            found.position += 1
+            self._row_of(volume, extent, found)
+
+    def step(self, step: str, volume: str, extent: str, generation: int, to: int = -1, fence: int = -1,
+             position: int = 0, mine: bool = False) -> bool:
+        """One step of a move; False: it may not be taken. Raises ValueError for what is no step."""
+        s = self.side(volume, extent)
+        if step == "own":
+            if s.role is not Role.OWNER or s.generation >= 0:
+                return s.role is Role.OWNER and s.generation == generation
+            s.role = Role.ABSENT        # it holds it, and never took part in a move
+            done = s.own(generation)
+        elif step == "fill":
+            done = s.fill(generation)
+        elif step == "whole":
+            done = s.whole(generation, position)
+        elif step == "close":
+            done = s.close(generation, to)[0]
+        elif step == "open":
+            done = s.open(generation, fence)
+        elif step == "forget":
+            done = s.forget(generation)
+        elif step == "cancel":
+            done = s.cancel(generation)
+        elif step == "reopen":
+            done = s.reopen(generation)
+        elif step == "confirm":
+            # Nothing of a move stands with the data: the node never fenced them.
+            s.generation = generation if s.generation < 0 and mine and s.kept else s.generation
+            done = s.confirm(generation, mine)
+            if done is Answer.DONE and s.role is Role.OWNER:
+                s.position = max(s.position, CLOSE + 1)
+        else:
+            raise ValueError(f"no step of a move: {step[:40]!r}")
+        if done is not Answer.DONE:
+            return False
+        self._keep(volume, extent, s)
+        return True
+
+    def _keep(self, volume: str, extent: str, s: Side) -> None:
+        """With the data first: should the row be lost, they say no less than it."""
+        if s.role in (Role.OWNER, Role.FENCED):
+            fenced = s.role is Role.FENCED
+            self.store.mark(volume, extent, (s.generation, s.to if fenced else -1, s.fence if fenced else -1))
+        self._row_of(volume, extent, s)
+
+    def _row_of(self, volume: str, extent: str, s: Side) -> None:
+        self.rows[volume, extent] = s
+        if self.writer is not None:
+            self.writer.put(self._row((volume, extent), s))
+
+    def close(self) -> None:
+        if self.writer is not None:
+            self.writer.close()
--- a/fawnspool/standins/node.py
+++ b/fawnspool/standins/node.py
@@ -9,9 +9,11 @@
 """
 from __future__ import annotations
 
+import contextlib
 import json
 import math
 import os
+import struct
 import time
 import traceback
 from collections import OrderedDict
@@ -20,20 +22,26 @@
 from pathlib import Path
 from random import Random
 from typing import Any
+from urllib.parse import parse_qs
 
+import crc32c
 import gevent
 import msgspec
 from gevent.event import AsyncResult
 
+from fawnspool.extents.copies import Answer as Allowed
+from fawnspool.extents.copies import Role
 from fawnspool.model.node import NodeBehaviour, NodeTraits, Work
 from fawnspool.net.http import BadMessage
-from fawnspool.net.nodewire import Call, Told, read_call, read_target
+from fawnspool.net.nodewire import MOVED, Call, Told, read_call, read_target
 from fawnspool.net.ranges import read_range, tag_matches
 from fawnspool.net.server import ClientLeft, Exchange, Server
 from fawnspool.records.frames import Writer
 from fawnspool.standins.clients import lag_meter
-from fawnspool.standins.store import Store
+from fawnspool.standins.moving import Sides
+from fawnspool.standins.store import Meta, Store
 
+MOVED_MOST = 64 << 20     # bytes of an object that a move takes over: it is held whole on the way
 _SEEN_MOST = 20_000      # keys of repeats remembered in memory, at most
 
 
@@ -77,12 +85,31 @@
                     if time.time() - path.stat().st_mtime > window:
                         path.unlink(missing_ok=True)
                         continue
-                    return path.read_text()
+                    return path.read_text().partition("\n")[0]
                 except FileNotFoundError:
                     continue
 
-    def done(self, key: str, etag: str) -> None:
-        (self.folder / key).write_text(etag)
+    def done(self, key: str, etag: str, volume: str = "", name: str = "") -> None:
+        """volume, name: of the object that it changed; a move takes the object's keys along."""
+        (self.folder / key).write_text(f"{etag}\n{volume}\n{name}" if volume else etag)
+
+    def of(self, volume: str, name: str) -> list[tuple[str, str, float]]:
+        """Keys that changed an object: (key, etag, age in seconds). Reads the whole folder, as moves are few."""
+        out = list[tuple[str, str, float]]()
+        for path in self.folder.iterdir():
+            with contextlib.suppress(OSError):
+                etag, _, rest = path.read_text().partition("\n")
+                if rest == f"{volume}\n{name}":
+                    out.append((path.name, etag, time.time() - path.stat().st_mtime))
+        return out
+
+    def take(self, key: str, etag: str, age: float, volume: str, name: str) -> None:
+        """A key that another node knew; one that is known here stays."""
+        path = self.folder / key
+        if not path.exists():
+            self.done(key, etag, volume, name)
+            at = time.time() - age
+            os.utime(path, (at, at))
 
     def release(self, key: str) -> None:
         (self.folder / key).unlink(missing_ok=True)
@@ -102,6 +129,7 @@
         group_root = groups or Path(folder) / "repeats"
         self.repeats = {"cell": Repeats(group_root / f"cell-{ident}"), "zone": Repeats(group_root / f"zone-{zone}"),
                         "all": Repeats(group_root / "all")}
+        self.sides = Sides(Path(folder), self.store)
         self.record, self.meter, self.served = record, meter, served
         self.faults = Faults()
         now = time.monotonic()
@@ -136,6 +164,7 @@
     def stop(self) -> None:
         self.server.stop()
         gevent.killall(self.greenlets)
+        self.sides.close()
 
     def note(self, kind: str, **more: Any) -> None:
         if self.record is not None:
@@ -255,6 +284,9 @@
                 return self._answer(exchange, call, volume, 503, [], b"", full=full, how=how)
             if self._hit(self.faults.error):
                 return self._answer(exchange, call, volume, 500, [], b"")
+            # Looked at here and not on arrival: from here to the effect nothing else runs, and no fence comes between.
+            if (where := self.sides.answer(volume, key)) is not Allowed.DONE:
+                return self._elsewhere(exchange, call, volume, key, where)
             if head.method == b"PUT":
                 assert draft is not None
                 mine, draft = draft, None
@@ -266,6 +298,13 @@
             if draft is not None:
                 draft.drop()
 
+    def _elsewhere(self, exchange: Exchange, call: Call, volume: str, key: str, where: Allowed) -> None:
+        """Nothing was done: another node serves the extent (421), or none does yet (425)."""
+        side = self.sides.side(volume, key)
+        if where is Allowed.MOVED and side.to >= 0:
+            return self._answer(exchange, call, volume, 421, [(MOVED, b"%d;%d" % (side.to, side.generation))], b"")
+        self._answer(exchange, call, volume, 425, [], b"")
+
     def _refused_by_tags(self, exchange: Exchange, etag: str | None) -> bool:
         h = exchange.head.headers
         match, none = h.get(b"if-match"), h.get(b"if-none-match")
@@ -294,9 +333,11 @@
             if group:
                 group.release(call.key)
             return self._answer(exchange, call, volume, 412, [], b"")
-        meta = self.store.commit(draft, volume, key, call.key if group else "")
+        self.sides.writes(volume, key)
+        meta = self.store.commit(draft, volume, key, call.key if group else "",
+                                 generation=self.sides.side(volume, key).generation)
         if group:
-            group.done(call.key, meta.etag)
+            group.done(call.key, meta.etag, volume, key)
         self.note("did", head=call.head, id=call.ident, n=call.attempt, op=call.op, e=call.effect, dropped=False)
         self._answer(exchange, call, volume, 200 if had else 201, [(b"ETag", f'"{meta.etag}"'.encode())], b"")
 
@@ -304,6 +345,7 @@
         had = self.store.find(volume, key)
         if self._refused_by_tags(exchange, had.etag if had else None):
             return self._answer(exchange, call, volume, 412, [], b"")
+        self.sides.writes(volume, key)
         there = self.store.delete(volume, key)
         self.note("did", head=call.head, id=call.ident, n=call.attempt, op=call.op, e=call.effect, dropped=False)
         self._answer(exchange, call, volume, 204 if there else 404, [], b"")
@@ -361,7 +403,7 @@
     def _answer(self, exchange: Exchange, call: Call, volume: str, status: int, headers: list[tuple[bytes, bytes]],
                 body: bytes, full: bool = False, how: str = "") -> None:
         faults = self.faults
-        told = self._told(call, volume) if status < 500 else Told(
+        told = self._told(call, volume) if status < 500 and status not in (421, 425) else Told(
             load=tuple(self.behaviour.load(name) for name in self.load_fields), full=full)
         wire, lost = exchange.conn.wire, ""
         if full:                    # turned away unseen: the faults are of answers to work done
@@ -400,6 +442,9 @@
 
     def _control(self, exchange: Exchange) -> None:
         raw = b"".join(exchange.body())
+        place, _, query = exchange.head.target.decode("latin-1").partition("?")
+        if place in ("/-/extent", "/-/extent/data"):
+            return self._extent(exchange, place, query, raw)
         if exchange.head.method == b"POST" and exchange.head.target == b"/-/faults":
             try:
                 self.set_faults(json.loads(raw))
@@ -412,3 +457,85 @@
             raise BadMessage(404, "no such place")
         load = ",".join(f"{self.behaviour.load(name):.4g}" for name in self.load_fields)
         exchange.respond(200, [(b"Fawn-Told", f"0;;{load};0".encode())], b"{}")
+
+    # ------------------------------------------------------------------ moves
+
+    def _extent(self, exchange: Exchange, place: str, query: str, raw: bytes) -> None:
+        """What movers ask: docs/node-wire.md."""
+        try:
+            asked = {k: v[0] for k, v in parse_qs(query, strict_parsing=True).items()}
+            volume, key = asked["volume"], asked["key"]
+            method = exchange.head.method
+            if place == "/-/extent/data":
+                if method == b"GET":
+                    return self._give(exchange, volume, key)
+                done = self._take(volume, key, int(asked["generation"]), raw)
+            elif method == b"POST":
+                done = self._step(volume, key, msgspec.json.decode(raw, type=Asked))
+            else:
+                done = True
+        except (KeyError, ValueError, TypeError, msgspec.MsgspecError, struct.error) as bad:
+            raise BadMessage(400, f"a mover's call does not read: {bad}") from None
+        s = self.sides.side(volume, key)
+        exchange.respond(200 if done else 409, [], msgspec.json.encode(
+            {"role": s.role.value, "generation": s.generation, "position": s.position, "to": s.to, "fence": s.fence,
+             "kept": s.kept}))
+
+    def _step(self, volume: str, key: str, a: Asked) -> bool:
+        done = self.sides.step(a.step, volume, key, a.generation, a.to, a.fence, mine=a.mine)
+        if done and a.step in ("forget", "cancel"):
+            self.store.delete(volume, key)      # after its row: a kill in between leaves data, and nobody serves them
+        return done
+
+    def _give(self, exchange: Exchange, volume: str, key: str) -> None:
+        """The object for the node that takes it over, with its idempotency keys. The position is read first: what is
+        newer than it comes again."""
+        side, meta = self.sides.side(volume, key), self.store.find(volume, key)
+        if side.role not in (Role.OWNER, Role.FENCED) or not side.kept:
+            return exchange.respond(409, [], b"")
+        size = 0 if meta is None else meta.size
+        if size > MOVED_MOST:
+            return exchange.respond(413, [], b"")
+        claims = [(name, *row) for name, group in self.repeats.items() for row in group.of(volume, key)]
+        told = msgspec.msgpack.encode(Moved(side.position, meta, claims))
+        data = b"" if meta is None else b"".join(self.store.read(volume, key, 0, size))
+        exchange.respond(200, [], struct.pack(">I", len(told)) + told + data)
+
+    def _take(self, volume: str, key: str, generation: int, raw: bytes) -> bool:
+        (length,) = struct.unpack_from(">I", raw)
+        told, data = msgspec.msgpack.decode(raw[4:4 + length], type=Moved), raw[4 + length:]
+        side = self.sides.side(volume, key)
+        if side.role is not Role.FILLING or side.generation != generation:
+            return False
+        if told.position < side.position:
+            return True             # a copy that was under way when a newer one came
+        if told.meta is None:
+            self.store.delete(volume, key)
+        else:
+            if len(data) != told.meta.size or crc32c.crc32c(data) != told.meta.crc:
+                raise ValueError("the object's bytes are not those that it was stored with")
+            draft = self.store.draft()
+            draft.add(data)
+            self.store.commit(draft, volume, key, told.meta.idem, told.meta.etag)
+        for name, ident, etag, age in told.claims:
+            if name in self.repeats:
+                self.repeats[name].take(ident, etag, age, volume, key)
+        return self.sides.step("whole", volume, key, generation, position=told.position)
+
+
+class Asked(msgspec.Struct, forbid_unknown_fields=True):
+    """One step of a move, as a mover asks for it."""
+
+    step: str
+    generation: int
+    to: int = -1
+    fence: int = -1
+    mine: bool = False
+
+
+class Moved(msgspec.Struct):
+    """What goes before an object's bytes. meta None: it was deleted. claims: group, key, etag, age in seconds."""
+
+    position: int
+    meta: Meta | None
+    claims: list[tuple[str, str, str, float]]
--- a/fawnspool/standins/store.py
+++ b/fawnspool/standins/store.py
@@ -27,6 +27,7 @@
     size: int
     crc: int
     idem: str = ""       # idempotency key of the write that left it
+    side: tuple[int, int, int] = (-1, -1, -1)   # generation, and to which cell it was fenced at which position; -1: not
 
 
 @dataclass(slots=True)
@@ -90,10 +91,11 @@
         os.lseek(fd, self.HEAD, os.SEEK_SET)
         return Draft(fd, path)
 
-    def commit(self, draft: Draft, volume: str, key: str, idem: str = "") -> Meta:
-        """The draft takes the place of what the key held."""
-        etag = f"{draft.crc:08x}{draft.size:x}-{time.time_ns():x}"
-        meta = Meta(volume, key, etag, draft.size, draft.crc, idem)
+    def commit(self, draft: Draft, volume: str, key: str, idem: str = "", etag: str = "",
+               generation: int = -1) -> Meta:
+        """The draft takes the place of what the key held. etag: of the object that it is a copy of."""
+        etag = etag or f"{draft.crc:08x}{draft.size:x}-{time.time_ns():x}"
+        meta = Meta(volume, key, etag, draft.size, draft.crc, idem, (generation, -1, -1))
         raw = msgspec.msgpack.encode(meta)
         if len(raw) > self.HEAD - 4:
             draft.drop()
@@ -106,6 +108,20 @@
         self.index[volume, key] = (path, meta)
         return meta
 
+    def mark(self, volume: str, key: str, side: tuple[int, int, int]) -> None:
+        """What a move made of the object, kept with its bytes; the head of a file is written at one stroke."""
+        row = self.index.get((volume, key))
+        if row is None or row[1].side == side:
+            return
+        meta = msgspec.structs.replace(row[1], side=side)
+        raw = msgspec.msgpack.encode(meta)
+        fd = os.open(row[0], os.O_WRONLY)
+        try:
+            os.pwrite(fd, _LENGTH.pack(len(raw)) + raw, 0)
+        finally:
+            os.close(fd)
+        self.index[volume, key] = (row[0], meta)
+
     def read(self, volume: str, key: str, start: int, length: int, piece: int = 1 << 18) -> Iterator[bytes]:
         """Bytes of an object. The file opened first is read to its end, also while it is replaced."""
         path, _ = self.index[volume, key]
--- a/tests/test_history.py
+++ b/tests/test_history.py
@@ -94,6 +94,19 @@
     c.close()
 
 
+def test_a_write_that_a_move_has_overtaken_does_not_bring_the_old_place_back() -> None:
+    c = Catalogue(shards=1)
+    c.put("v", "a", 1, 7)
+    c.flip("v", "a", 2, 1)
+    fact, taken = c.note("v", "a", 1, 9, generation=0)      # acknowledged by the old node before its fence
+    assert taken and (fact.cell, fact.size, fact.stamp.generation) == (2, 9, 1)
+    fact, _ = c.note("v", "a", 2, 11, generation=1)
+    assert (fact.cell, fact.size) == (2, 11)
+    fact, _ = c.note("v", "a", 0, 12, generation=2)     # sent on by the old node, before its flip is told
+    assert (fact.cell, fact.stamp.generation) == (0, 2) and c.flip("v", "a", 0, 2) == fact
+    c.close()
+
+
 def test_a_service_restored_from_a_backup_takes_back_only_what_it_knew(tmp_path: Path) -> None:
     clock = [1000]
     c = Catalogue(tmp_path / "map", 1, lambda: clock[0])
--- a/tests/test_moves.py
+++ b/tests/test_moves.py
@@ -8,6 +8,7 @@
 
 from fawnspool.extents.copies import Answer, Copy, Role, Write
 from fawnspool.extents.moves import Move, Seen, Step, next_step
+from fawnspool.standins.moving import Side
 
 NODES = 3
 
@@ -276,3 +277,18 @@
     assert next_step(move, seen(copy), None, 0) is Step.WAIT
     copy.lost()
     assert next_step(move, seen(copy), Seen(Role.ABSENT, -1), 0) is Step.WAIT
+
+
+@pytest.mark.parametrize("make", [Copy, Side])
+def test_what_has_forgotten_its_data_does_not_serve_again(make: type[Copy]) -> None:
+    c = make()
+    c.own(0)
+    c.write("n", "1")
+    assert c.close(1, 2)[0] is Answer.DONE
+    if make is Copy:
+        kept = make()
+        kept.own(0)
+        kept.close(1, 2)
+        assert kept.reopen(1) is Answer.DONE and kept.generation == 2
+    assert c.forget(1) is Answer.DONE
+    assert c.reopen(1) is Answer.NO and c.role is Role.FENCED
