--- a/fawnspool/api/objects.py
+++ b/fawnspool/api/objects.py
@@ -239,7 +239,7 @@
             went, began = place, at
             pending = self._followed(exchange, volume, key, place, lambda p: self._submit(
                 exchange, volume, key, cls, method=b"GET", body=Body(b"", 0), cell=p[0],
-                size=0 if stat else self._asked(exchange, p[1]), query=b"?stat" if stat else b""))
+                size=0 if stat else self._asked(exchange, p[1]), query=b"?stat" if stat else b""), cls)
             gone = pending.kind is Kind.SERVED and pending.answer is not None and pending.answer.status == 404
             if not gone:
                 self.head.places.sent(True, 0.0)
@@ -248,10 +248,12 @@
             self.head.finished(pending, "moved")    # the place was old: ask the catalogue, once
 
     def _followed(self, exchange: Exchange, volume: str, key: str, place: tuple[int, int],
-                  submit: Callable[[tuple[int, int]], Pending], again: bool = True) -> Pending:
+                  submit: Callable[[tuple[int, int]], Pending], cls: int, again: bool = True) -> Pending:
         """Submit and wait; where nodes say that the extent has moved (nothing was done there), submit to where it went,
         or once more where it is about to open. Each is a request of its own to the module; the client gets one answer.
-        Raises ApiError where its time is up. again: may it be submitted twice?"""
+        Raises ApiError where its time is up. again: may it be submitted twice? One that keeps an order never is, as
+        those behind it could overtake it."""
+        again = again and not self.config.class_[cls].ordered
         for turn in range(FOLLOWED):
             pending = submit(place)
             self._wait(pending)
@@ -287,7 +289,7 @@
             sent_at = self.head.places.generation(volume, key)
             return self._submit(exchange, volume, key, cls, method=b"PUT", body=body, cell=p[0], size=size)
 
-        pending = self._followed(exchange, volume, key, place or (-1, 0), submit, again=body.rest is None)
+        pending = self._followed(exchange, volume, key, place or (-1, 0), submit, cls, again=body.rest is None)
         answer = pending.answer
         if pending.kind is Kind.SERVED and answer is not None and answer.status in (200, 201):
             self.head.metrics.bytes_in += exchange.seen
@@ -336,7 +338,7 @@
         if place is None:
             raise ApiError(404, "no-such-object", f"volume {volume!r} holds no {key!r}")
         pending = self._followed(exchange, volume, key, place, lambda p: self._submit(
-            exchange, volume, key, cls, method=b"DELETE", body=Body(b"", 0), cell=p[0], size=0))
+            exchange, volume, key, cls, method=b"DELETE", body=Body(b"", 0), cell=p[0], size=0), cls)
         if pending.kind is Kind.SERVED and pending.answer is not None and pending.answer.status in (204, 404):
             try:
                 self.head.places.drop(volume, key, pending.deadline + self.config.clients.answer_margin / 2)
--- a/fawnspool/cli/drill.py
+++ b/fawnspool/cli/drill.py
@@ -116,6 +116,10 @@
         click.echo(f"WRONG BYTES in {said['wrong_bytes']} answers")
     if said["too_noisy"]:
         click.echo("this machine was too noisy for the allowance; a break of time may be the machine's")
+    if said["wrong_sends"]:
+        w = said["wrong_sends"]
+        table(f"Sent to a node that the extent had left, by the time since its flip ({w['moves']} moves)",
+              [*w["by_time"], "not open yet", "latest s"], [[*w["by_time"].values(), w["not_yet"], w["latest_s"]]])
     worst = said["worst_window"]
     click.echo(f"worth earned over due: {whole['share']:.3f}; worst 5 s: {worst['share']:.3f} from {worst['from_s']} s")
     if said["plain"]:
--- a/fawnspool/config/head.py
+++ b/fawnspool/config/head.py
@@ -74,6 +74,7 @@
 class CatalogueBlock:
     address: str = spec("", kind="address")
     call_timeout: float = spec(0.5, kind="time", low=0.01)
+    watch: bool = spec(True)                 # False: the map grows by questions alone, for comparison
     peak: float = spec(200.0, low=1)         # calls a second that the service bears from all heads together
 
 
--- a/fawnspool/days/day.py
+++ b/fawnspool/days/day.py
@@ -19,7 +19,8 @@
 LIST_FAULTS = ("list_gone", "list_late")
 TRAFFIC_FAULTS = ("burst", "plan_burst", "hot_volumes", "scan", "lead_moves", "impatient", "leavers")
 HEAD_FAULTS = ("head_roll", "head_stall", "head_kill")
-KINDS = NODE_FAULTS + LIST_FAULTS + TRAFFIC_FAULTS + HEAD_FAULTS
+MAP_FAULTS = ("moves", "map_gone")
+KINDS = NODE_FAULTS + LIST_FAULTS + TRAFFIC_FAULTS + HEAD_FAULTS + MAP_FAULTS
 
 
 @dataclass(frozen=True)
@@ -30,6 +31,7 @@
     nodes: int = spec(3, low=1, high=256)
     seed: int = spec(1)
     list_mode: str = spec("push", among=("push", "ask"))
+    map_watch: bool = spec(True)             # False: heads learn of a place by a miss only, for comparison
     peers: bool = spec(False)                # heads may send each other datagrams
     notice: float = spec(0.5, kind="time")   # how long the list takes to hear of a node's death
 
--- a/fawnspool/drill/play.py
+++ b/fawnspool/drill/play.py
@@ -3,6 +3,7 @@
 
 import signal
 import time
+from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass, field, replace
 from pathlib import Path
@@ -20,9 +21,13 @@
 from fawnspool.days.troubles import CALM, NODE_SETTINGS, batches, stall_times, targets, waves
 from fawnspool.days.worth import Served, Service, count
 from fawnspool.drill.fleet import DrillError, Process, free_ports, post
+from fawnspool.extents.facts import Delta
+from fawnspool.head.mover import Mover
+from fawnspool.head.places import MapClient
 from fawnspool.records.frames import Writer, rows_of
 from fawnspool.rules.judge import Verdict, judge
 from fawnspool.rules.story import read
+from fawnspool.rules.wrong import WrongSends, wrong_sends
 from fawnspool.standins.catalogue import Catalogue, CatalogueServer
 from fawnspool.standins.clients import content, lag_meter
 from fawnspool.standins.meter import MeterServer
@@ -40,6 +45,7 @@
     service: Service
     ops: list[Served]
     events: list[tuple[float, str]] = field(default_factory=list)
+    wrong: WrongSends | None = None         # where extents moved
 
 
 @dataclass
@@ -72,6 +78,7 @@
         self.heads: list[Process] = []
         self.clients: Process | None = None
         self.tasks: list[Any] = []
+        self.generations: dict[tuple[str, str], int] = {}
 
     def note(self, kind: str, t: float | None = None, **more: Any) -> None:
         self.record.put({"k": kind, "t": time.monotonic() if t is None else t, **more})
@@ -155,7 +162,7 @@
             class_=d.class_, plan=d.plan,
             volume=tuple(VolumeBlock(name, b.name, b.heads) for name, b in d.volume_names()), peer=peers,
             list=ListBlock(address=f"127.0.0.1:{self.list.where[1]}", mode=d.day.list_mode, call_timeout=1.0),
-            catalogue=CatalogueBlock(address=f"127.0.0.1:{self.catalogue.address[1]}"),
+            catalogue=CatalogueBlock(address=f"127.0.0.1:{self.catalogue.address[1]}", watch=d.day.map_watch),
             nodes=replace(d.nodes, cells=d.day.nodes, zones=tuple(zones)), units=d.units, attempts=d.attempts,
             clients=d.clients, service=d.service)
 
@@ -351,6 +358,45 @@
         gevent.sleep(x.length)
         self.list.late = 0.0
 
+    def _do_map_gone(self, x: TroubleBlock, cells: list[_Cell], heads: list[int]) -> None:
+        self.catalogue.gone()
+        gevent.sleep(x.length)
+        self.catalogue.start()
+        self._hear_flips()
+
+    def _hear_flips(self) -> None:
+        def heard(delta: Delta) -> None:
+            for f in delta.facts:
+                if f.stamp.generation > self.generations.get((f.volume, f.extent), 0):
+                    self.generations[f.volume, f.extent] = f.stamp.generation
+                    self.note("flip", vol=f.volume, key=f.extent, gen=f.stamp.generation)
+        self.catalogue.catalogue.watchers[self] = heard
+
+    def _do_moves(self, x: TroubleBlock, cells: list[_Cell], heads: list[int]) -> None:
+        """Every `every` seconds `size` objects, each to another of the nodes, by movers of their own; one that is not
+        done in time is resumed by the next that takes its object up."""
+        self._hear_flips()
+        random, end = Random(f"{self.seed}-{x.name}"), time.monotonic() + x.length
+        where = {c.cell: c for c in self.cells}
+        mover = Mover(lambda k: ("127.0.0.1", where[k].process.port) if where[k].up else None,
+                      MapClient(self.catalogue.address, 0.5), 0.5)
+        names = [name for name, _ in self.day.volume_names()]
+        done: list[Any] = []
+        moved = Counter[str]()
+
+        def one(volume: str, key: str, to: int) -> None:
+            moved[mover.move(volume, key, to, time.monotonic() + 5.0).value] += 1
+
+        while time.monotonic() < end:
+            for _ in range(max(1, round(x.size))):
+                volume = random.choice(names)
+                keys, _ = self.catalogue.catalogue.list(volume, "", "", 1000)
+                if keys:
+                    done.append(gevent.spawn(one, volume, random.choice(keys)[0], random.choice(cells).cell))
+            gevent.sleep(x.every)
+        gevent.joinall(done, timeout=6.0)
+        self.event(f"moves: {', '.join(f'{n} {how}' for how, n in sorted(moved.items()))}")
+
     def _kill_head(self, k: int, down: float) -> None:
         self.note("head", head=k, what="killed")
         self.heads[k].kill()
@@ -389,8 +435,10 @@
     # ------------------------------------------------------------ the end
 
     def _judge(self) -> Result:
-        verdict = judge(read(rows_of(self.folder)), terms_of(self.day))
+        story = read(rows_of(self.folder))
+        verdict = judge(story, terms_of(self.day))
         plan_of = {name: b.name for name, b in self.day.volume_names()}
         ops = [Served(r[0], r[1], plan_of[r[1]], r[2], r[3], r[4], r[5])
                for r in msgspec.json.decode((self.folder / "ended.json").read_bytes())]
-        return Result(verdict, count(self.day, ops), ops, self.events)
+        wrong = wrong_sends(story) if any(x.kind == "moves" for x in self.day.trouble) else None
+        return Result(verdict, count(self.day, ops), ops, self.events, wrong)
--- a/fawnspool/drill/report.py
+++ b/fawnspool/drill/report.py
@@ -6,9 +6,12 @@
 from fawnspool.days.day import Day
 from fawnspool.days.worth import Row
 from fawnspool.drill.play import Result
+from fawnspool.rules.wrong import EDGES
 
 COLUMNS = ("class", "plan", "asked", "in time", "late", "refused", "failed", "left", "earned", "due", "share")
 
+WRONG_COLUMNS = ("before the flip", *(f"under {1000 * e:g} ms" for e in EDGES), "later")
+
 
 def _row(row: Row) -> dict[str, Any]:
     return {"asked": row.asked, "in time": row.in_time, "late": row.late, "refused": row.refused,
@@ -34,4 +37,7 @@
         "plain": None if plain is None else {
             **_row(plain.service.whole), "kept": plain.verdict.kept,
             "broken": sorted({b.rule for f in plain.verdict.findings for b in f.breaches})},
+        "wrong_sends": None if result.wrong is None else {
+            "moves": result.wrong.moves, "by_time": dict(zip(WRONG_COLUMNS, result.wrong.counts, strict=True)),
+            "not_yet": result.wrong.not_yet, "latest_s": round(result.wrong.worst, 4)},
         "events": [[round(t, 3), text] for t, text in result.events]}
--- a/fawnspool/head/head.py
+++ b/fawnspool/head/head.py
@@ -87,7 +87,7 @@
         where = address(k.address)
         return Places(MapClient(where, k.call_timeout), Terms(heads=config.head.heads, peak=k.peak), config.head.seed,
                       self.log, address=where, timeout=k.call_timeout, folder=Path(config.head.data),
-                      behind=self.behind)
+                      behind=self.behind, follow=k.watch)
 
     def start(self) -> None:
         h = self.config.head
--- a/fawnspool/head/places.py
+++ b/fawnspool/head/places.py
@@ -135,7 +135,9 @@
     """`address` None: the service is in this process and asked each time. `start` before the first `find`."""
 
     def __init__(self, source: Any, terms: Terms, seed: int, log: Any, *, address: tuple[str, int] | None = None,
-                 timeout: float = 0.5, folder: Path | None = None, behind: Behind | None = None) -> None:
+                 timeout: float = 0.5, folder: Path | None = None, behind: Behind | None = None,
+                 follow: bool = True) -> None:
+        self.follow = follow        # False: no watch, and what is known is sent to until a node says otherwise
         self.source, self.terms, self.seed, self.log = source, terms, seed, log
         self.map = ExtentMap.empty(1)
         self.stale = Staleness(terms, 1, seed)
@@ -168,7 +170,7 @@
             self.file.close()
 
     def watch(self) -> None:
-        if self.link is not None and not self.stopped:
+        if self.link is not None and self.follow and not self.stopped:
             self.link.watch(True)
 
     def age(self) -> float:
@@ -230,7 +232,7 @@
             found = self._ask(volume, key, deadline)
             return None if found is None else (found.cell, found.size)
         now = time.monotonic()
-        do = self.stale.choose(now, self.map, volume, key, deadline - now)
+        do = self.stale.choose(now, self.map, volume, key, deadline - now) if self.follow else Do.SEND
         if do is Do.ASK_BESIDE:
             gevent.spawn(self._ask_quietly, volume, key, now + self.stale.terms.least_s)
         elif do is Do.ASK_FIRST:
--- a/fawnspool/rules/judge.py
+++ b/fawnspool/rules/judge.py
@@ -90,7 +90,7 @@
 
 def _seen(out: Row | None) -> bool:
     """May an attempt that arrived have run, as far as its sender can know?"""
-    return out is None or out.get("how") != "full"
+    return out is None or out.get("how") not in ("full", "elsewhere")
 
 
 def _answered(j: _Judge, terms: Terms, allowance: float) -> None:
--- a/fawnspool/rules/story.py
+++ b/fawnspool/rules/story.py
@@ -42,6 +42,8 @@
     dids: list[Row] = field(default_factory=list)
     outs: dict[tuple[int, int, int, int], Row] = field(default_factory=dict)     # by node, head, id, attempt
     fells: list[Row] = field(default_factory=list)
+    flips: list[Row] = field(default_factory=list)          # the map service heard that an extent has moved
+    elsewheres: list[Row] = field(default_factory=list)     # a node did not serve what it was sent
     tolds: list[Row] = field(default_factory=list)
     lives: dict[int, list[Row]] = field(default_factory=lambda: defaultdict(list))
     stalls: dict[int, list[tuple[float, float]]] = field(default_factory=lambda: defaultdict(list))
@@ -105,6 +107,10 @@
                 story.outs[row["node"], row["head"], row["id"], row["n"]] = row
             case "fell":
                 story.fells.append(row)
+            case "flip":
+                story.flips.append(row)
+            case "elsewhere":
+                story.elsewheres.append(row)
             case "told":
                 story.tolds.append(row)
             case "head":
--- a/fawnspool/standins/node.py
+++ b/fawnspool/standins/node.py
@@ -273,6 +273,7 @@
             except BaseException:
                 draft.drop()        # the request never came whole: it never ran
                 raise
+        came = time.monotonic()
         self.note("in", head=call.head, id=call.ident, n=call.attempt, cls=call.cls, units=call.units, op=call.op,
                   vol=volume, x=call.extent, e=call.effect, w=writes, m=head.method.decode())
         try:
@@ -286,7 +287,7 @@
                 return self._answer(exchange, call, volume, 500, [], b"")
             # Looked at here and not on arrival: from here to the effect nothing else runs, and no fence comes between.
             if (where := self.sides.answer(volume, key)) is not Allowed.DONE:
-                return self._elsewhere(exchange, call, volume, key, where)
+                return self._elsewhere(exchange, call, volume, key, where, came)
             if head.method == b"PUT":
                 assert draft is not None
                 mine, draft = draft, None
@@ -298,12 +299,16 @@
             if draft is not None:
                 draft.drop()
 
-    def _elsewhere(self, exchange: Exchange, call: Call, volume: str, key: str, where: Allowed) -> None:
+    def _elsewhere(self, exchange: Exchange, call: Call, volume: str, key: str, where: Allowed,
+                   came: float) -> None:
         """Nothing was done: another node serves the extent (421), or none does yet (425)."""
         side = self.sides.side(volume, key)
-        if where is Allowed.MOVED and side.to >= 0:
-            return self._answer(exchange, call, volume, 421, [(MOVED, b"%d;%d" % (side.to, side.generation))], b"")
-        self._answer(exchange, call, volume, 425, [], b"")
+        moved = where is Allowed.MOVED and side.to >= 0
+        self.note("elsewhere", head=call.head, came=came, vol=volume, key=key, gen=side.generation if moved else -1)
+        if moved:
+            return self._answer(exchange, call, volume, 421, [(MOVED, b"%d;%d" % (side.to, side.generation))], b"",
+                                how="elsewhere")
+        self._answer(exchange, call, volume, 425, [], b"", how="elsewhere")
 
     def _refused_by_tags(self, exchange: Exchange, etag: str | None) -> bool:
         h = exchange.head.headers
--- a/tests/e2e/rig.py
+++ b/tests/e2e/rig.py
@@ -28,7 +28,8 @@
   {head} }}
 list {{ address = "127.0.0.1:{list}"
   call_timeout = "500ms" }}
-catalogue {{ address = "127.0.0.1:{catalogue}" }}
+catalogue {{ address = "127.0.0.1:{where}"
+  {catalogue} }}
 nodes {{ cells = {cells}
   drain_grace = "100ms"
   connect_timeout = "200ms"
@@ -127,8 +128,8 @@
         self.list = NodeListServer(("127.0.0.1", 0), [self.entry(k) for k in range(nodes)],
                                    lambda h, phase, node, _: self.told.append((time.monotonic(), h, phase, node)))
         self.catalogue = CatalogueServer(("127.0.0.1", 0), Catalogue())
-        parts = {"head": "", "nodes": "", "clients": "", "attempts": ""} | blocks
-        text = CONFIG.format(data=tmp / "head", list=self.list.where[1], catalogue=self.catalogue.address[1],
+        parts = {"head": "", "catalogue": "", "nodes": "", "clients": "", "attempts": ""} | blocks
+        text = CONFIG.format(data=tmp / "head", list=self.list.where[1], where=self.catalogue.address[1],
                              cells=nodes, **parts)
         config = parse(text, "rig.hcl", HeadConfig, check)
         self.config = replace(config, head=replace(config.head, policy=policy))
--- a/tests/e2e/test_moving.py
+++ b/tests/e2e/test_moving.py
@@ -18,6 +18,8 @@
 from fawnspool.head.mover import Mover
 from fawnspool.head.places import MapClient
 from fawnspool.net.nodewire import Call
+from fawnspool.rules.story import read as read_story
+from fawnspool.rules.wrong import wrong_sends
 from fawnspool.telemetry import logs
 from tests.e2e.rig import Client, Rig, wait_for
 
@@ -315,6 +317,39 @@
     assert rig.nodes[at].sides.rows == {} and read(rig) == b"first"
 
 
+def test_a_request_that_keeps_an_order_is_not_sent_on_behind_later_ones(rig: Rig) -> None:
+    at = put(rig)
+    rig.catalogue.catalogue.watchers.clear()
+    assert mover(rig).move("v", "k", (at + 1) % 3, soon()) is Step.DONE
+    got: Any = rig.client().ask("PUT", PLACE + "k", b"second", **{"Fawn-Class": "ordered"})
+    assert got.status == 503 and json.loads(got.data)["error"] == "moving"
+    assert rig.client().ask("PUT", PLACE + "k", b"second", **{"Fawn-Class": "ordered"}).status == 200
+    assert read(rig) == b"second" and len(rig.seen((at + 1) % 3, "did")) == 1
+
+
+def test_a_head_that_does_not_watch_learns_by_a_miss(tmp_path: Path) -> None:
+    rig = Rig(tmp_path, nodes=2, catalogue="watch = false")
+    try:
+        at = put(rig)
+        assert read(rig) == b"first" and not rig.catalogue.catalogue.watchers
+        assert mover(rig).move("v", "k", 1 - at, soon()) is Step.DONE
+        for _ in range(3):
+            assert read(rig) == b"first" and rig.head.places.wrong == 1
+    finally:
+        rig.stop()
+
+
+def test_wrong_sends_are_counted_from_their_own_flip() -> None:
+    def row(kind: str, t: float, gen: int, **more: Any) -> dict[str, Any]:
+        late = 0.3 * (kind == "elsewhere")      # it waited at the node
+        return {"k": kind, "t": t + late, "came": t, "vol": "v", "key": "k", "gen": gen, "head": 0, **more}
+    found = wrong_sends(read_story([
+        row("elsewhere", 0.9, 1), row("flip", 1.0, 1), row("elsewhere", 1.003, 1), row("elsewhere", 1.05, 1),
+        row("elsewhere", 4.9, 2), row("flip", 5.0, 2), row("elsewhere", 5.7, 2), row("elsewhere", 6.0, -1)]))
+    assert (found.moves, found.counts, found.not_yet) == (2, (2, 1, 0, 1, 0, 1), 1)
+    assert found.worst == pytest.approx(0.7)
+
+
 def test_bytes_that_were_spoilt_on_the_way_are_not_taken(rig: Rig) -> None:
     at = put(rig)
     with pytest.raises(Killed):
