Take choices out of the API, the mover and the map file into extents/

Found by reading the change as on call and as a newcomer: api._followed chose how often and when to submit again, head/mover.py what an unsure node is told, head/mapfile.py when to write; now extents/stale.follow, moves.tell_first and pause, keep.py. A copy as one object (Side) is rules, not a stand-in: beside Copy. The services' start and gone stood twice, and the list's left its acceptor on the address: standins/service.py. A map with another number of shards went on in the old map's file: written anew. Hard cases shown: a read that runs and a write that comes slowly over a move.

--- a/benchmarks/extent_map.py
+++ b/benchmarks/extent_map.py
@@ -21,6 +21,7 @@
 from fawnspool.extents.facts import Delta, Fact, Stamp
 from fawnspool.extents.map import ExtentMap, shard_of
 from fawnspool.head.mapfile import read, write
+from fawnspool.standins.catalogue import Catalogue
 
 SHARDS = 64
 
@@ -53,6 +54,7 @@
     for n in (10_000, 100_000, 1_000_000):
         if n <= asked.most:
             tables(n)
+    service(min(asked.most, 20_000))
     print("\n| extents | file MiB | written s | read at a start s |")
     print("| --- | --- | --- | --- |")
     for n in (10_000, 100_000, 1_000_000):
@@ -100,6 +102,15 @@
     return m
 
 
+def service(n: int) -> None:
+    made = Catalogue()
+    try:
+        cost = each(lambda k: made.put(k[0], k[1], 1, int(time.perf_counter() * 1e6)), names(n))
+    finally:
+        made.close()
+    print(f"\nOne change at the service, LMDB, of {n:,} extents: {cost * 1e6:.0f} us", flush=True)
+
+
 def kept(n: int) -> None:
     m = made_of(names(n))
     with TemporaryDirectory() as folder:
--- /dev/null
+++ b/days/still.hcl
@@ -0,0 +1,5 @@
+base = "base/short.hcl"
+
+day {
+  title = "Nothing goes wrong"
+}
--- a/fawnspool/api/objects.py
+++ b/fawnspool/api/objects.py
@@ -12,6 +12,7 @@
 import re
 import time
 from collections.abc import Callable
+from itertools import count
 from typing import Any
 from urllib.parse import parse_qsl, unquote_to_bytes
 
@@ -28,7 +29,6 @@
 from fawnspool.net.server import Exchange, Server, address
 
 KEY_MOST = 300
-FOLLOWED = 12           # submissions of one request after an extent that moves, at most
 _JSON = (b"Content-Type", b"application/json")
 _BINARY = (b"Content-Type", b"application/octet-stream")
 _TOKEN = re.compile(rb"[A-Za-z0-9._-]{1,64}")
@@ -248,13 +248,12 @@
             self.head.finished(pending, "moved")    # the place was old: ask the catalogue, once
 
     def _followed(self, exchange: Exchange, volume: str, key: str, place: tuple[int, int],
-                  submit: Callable[[tuple[int, int]], Pending], cls: int, again: bool = True) -> Pending:
+                  submit: Callable[[tuple[int, int]], Pending], cls: int, once: bool = False) -> Pending:
         """Submit and wait; where nodes say that the extent has moved (nothing was done there), submit to where it went,
         or once more where it is about to open. Each is a request of its own to the module; the client gets one answer.
-        Raises ApiError where its time is up. again: may it be submitted twice? One that keeps an order never is, as
-        those behind it could overtake it."""
-        again = again and not self.config.class_[cls].ordered
-        for turn in range(FOLLOWED):
+        Raises ApiError where `extents/stale.py` ends it. once: its body can't be sent again."""
+        once |= self.config.class_[cls].ordered
+        for turn in count():
             pending = submit(place)
             self._wait(pending)
             answer = pending.answer
@@ -264,8 +263,8 @@
             to = read_moved(answer.headers.get(MOVED)) if answer.status == 421 else None
             if to is not None:
                 place = self.head.places.moved(volume, key, *to)
-            pause = 0.0 if to is not None and not turn else self.head.places.stale.again_in(turn)
-            if not again or time.monotonic() + pause >= pending.deadline:
+            pause = self.head.places.stale.follow(turn, to is not None, pending.deadline - time.monotonic(), once)
+            if pause is None:
                 break
             gevent.sleep(pause)
         raise ApiError(503, "moving", "the object is being moved and no node serves it yet: nothing was done")
@@ -289,7 +288,7 @@
             sent_at = self.head.places.generation(volume, key)
             return self._submit(exchange, volume, key, cls, method=b"PUT", body=body, cell=p[0], size=size)
 
-        pending = self._followed(exchange, volume, key, place or (-1, 0), submit, cls, again=body.rest is None)
+        pending = self._followed(exchange, volume, key, place or (-1, 0), submit, cls, once=body.rest is not None)
         answer = pending.answer
         if pending.kind is Kind.SERVED and answer is not None and answer.status in (200, 201):
             self.head.metrics.bytes_in += exchange.seen
--- a/fawnspool/extents/copies.py
+++ b/fawnspool/extents/copies.py
@@ -19,6 +19,8 @@
 from dataclasses import dataclass, field
 from enum import Enum
 
+CLOSE = 8               # writes that may be missing when the source is fenced: what comes over while nobody is served
+
 
 class Role(Enum):
     ABSENT = "absent"
@@ -175,3 +177,70 @@
         else:
             self.role, self.generation = Role.FENCED, max(generation, self.generation)
         return Answer.DONE
+
+
+@dataclass(slots=True)
+class Side(Copy):
+    """A copy held as one object: `position` counts writes, and what is kept is the object itself."""
+
+    kept: bool = True
+
+    def all_there(self) -> bool:
+        return self.kept
+
+    def own(self, generation: int) -> Answer:
+        """The first position is so far on that a copy comes before a fence, however few writes there were."""
+        done = Copy.own(self, generation)
+        if done is Answer.DONE:
+            self.position = CLOSE + 1
+        return done
+
+    def fill(self, generation: int) -> Answer:
+        done = Copy.fill(self, generation)
+        if done is Answer.DONE and self.position == 0:
+            self.kept = True
+        return done
+
+    def whole(self, generation: int, position: int) -> Answer:
+        """The object as it was at a position of the source; an older one changes nothing."""
+        if self.role is not Role.FILLING or self.generation != generation:
+            return Answer.NO
+        self.position = max(self.position, position)
+        return Answer.DONE
+
+    def forget(self, generation: int) -> Answer:
+        done = Copy.forget(self, generation)
+        if done is Answer.DONE:
+            self.kept = False
+        return done
+
+    def step(self, step: str, generation: int, to: int, fence: int, position: int, mine: bool) -> bool:
+        """One step of a move by its name; False: it may not be taken. Raises ValueError for what is no step."""
+        if step == "own":
+            if self.role is not Role.OWNER or self.generation >= 0:
+                return self.role is Role.OWNER and self.generation == generation
+            self.role = Role.ABSENT        # it holds it, and never took part in a move
+            done = self.own(generation)
+        elif step == "fill":
+            done = self.fill(generation)
+        elif step == "whole":
+            done = self.whole(generation, position)
+        elif step == "close":
+            done = self.close(generation, to)[0]
+        elif step == "open":
+            done = self.open(generation, fence)
+        elif step == "forget":
+            done = self.forget(generation)
+        elif step == "cancel":
+            done = self.cancel(generation)
+        elif step == "reopen":
+            done = self.reopen(generation)
+        elif step == "confirm":
+            # Nothing of a move stands with the data: the node never fenced them.
+            self.generation = generation if self.generation < 0 and mine and self.kept else self.generation
+            done = self.confirm(generation, mine)
+            if done is Answer.DONE and self.role is Role.OWNER:
+                self.position = max(self.position, CLOSE + 1)
+        else:
+            raise ValueError(f"no step of a move: {step[:40]!r}")
+        return done is Answer.DONE
--- a/fawnspool/extents/moves.py
+++ b/fawnspool/extents/moves.py
@@ -8,7 +8,7 @@
 from dataclasses import dataclass
 from enum import Enum
 
-from fawnspool.extents.copies import Role
+from fawnspool.extents.copies import CLOSE, Role
 
 
 class Step(Enum):
@@ -47,7 +47,35 @@
     generation: int
 
 
-CLOSE = 8               # writes that may be missing when the source is fenced: what comes over while nobody is served
+@dataclass(frozen=True)
+class Tell:
+    """What a node must be told before any step: `own` (it holds the extent and took part in no move yet) or `confirm`
+    (it is unsure), at which generation, and whether it is the one that serves."""
+
+    cell: int
+    step: str
+    generation: int
+    mine: bool = False
+
+
+def tell_first(move: Move, source: Seen | None, dest: Seen | None, mapped: int, cell: int) -> Tell | None:
+    """mapped, cell: what the map says of the extent. An unsure new node whose data are of the move's own generation had
+    opened, as the source's fence names it: it serves, whatever the map has not been told yet."""
+    if source is not None and source.role is Role.OWNER and source.generation < 0 and \
+            (mapped, cell) == (move.generation - 1, move.source):
+        return Tell(move.source, "own", mapped)
+    if source is not None and source.role is Role.UNSURE:
+        return Tell(move.source, "confirm", mapped, cell == move.source)
+    if dest is not None and dest.role is Role.UNSURE:
+        opened = dest.generation == move.generation and source is not None and source.role is Role.FENCED and \
+            (source.generation, source.to) == (move.generation, move.to)
+        return Tell(move.to, "confirm", move.generation if opened else mapped, opened or cell == move.to)
+    return None
+
+
+def pause(looks: int) -> float:
+    """Seconds until a mover looks again, after so many looks in a row without a step to take."""
+    return min(0.5, 0.005 * 2.0 ** min(looks, 8))
 
 
 def next_step(move: Move, source: Seen | None, dest: Seen | None, mapped: int, undo: bool = False) -> Step:
--- a/fawnspool/extents/stale.py
+++ b/fawnspool/extents/stale.py
@@ -56,6 +56,7 @@
     """Asked for each request (`choose`) and told what came of it. Work per event does not grow with the map."""
 
     GAIN = 0.05                 # smoothing of what is learned
+    FOLLOWED = 12               # submissions of one request after an extent that moves, at most
     WAITS = 4                   # usual questions' time that one may take
     RATE = 20.0                 # seconds over which the rate of moves is averaged
 
@@ -166,9 +167,15 @@
         for s in self.shards:
             s.whole = now - age
 
-    def again_in(self, turn: int) -> float:
-        """A place that is being opened did not serve yet: seconds until the next try, longer each time."""
-        return self.ask_s * 2.0 ** min(turn, 6) * self.random.uniform(0.5, 1.0)
+    def follow(self, turn: int, moved: bool, left: float, once: bool) -> float | None:
+        """A node did not serve what has moved or is about to open: seconds until the request is submitted again, where
+        it said where to (`moved`) or at the same place; None: it ends. Nothing was done for it yet. The first `moved`
+        is followed at once; after that longer each time, as an extent that is between two nodes opens soon or late.
+        left: seconds that its client still waits. once: it can't go twice, as its body came once or as it keeps an
+        order and those behind it could overtake it. Guards against following for ever. Harm: an extent that moves more
+        often than this is refused."""
+        pause = 0.0 if moved and not turn else self.ask_s * 2.0 ** min(turn, 6) * self.random.uniform(0.5, 1.0)
+        return None if once or turn + 1 >= self.FOLLOWED or pause >= left else pause
 
     def first_within(self, patience: float) -> float:
         """How long a question that goes first may take before the send goes without its answer: a few usual ones, and
--- a/fawnspool/head/mapfile.py
+++ b/fawnspool/head/mapfile.py
@@ -24,15 +24,13 @@
 from immutables import Map
 
 from fawnspool.extents.facts import Delta, Fact, Stamp, State
+from fawnspool.extents.keep import Keep, Write
 from fawnspool.extents.map import ExtentMap, Key, Shard
 from fawnspool.records.behind import Behind
 from fawnspool.records.frames import Reader, Writer
 
 FORM = 1
 PIECE = 1000            # facts in one frame
-LOG_LEAST = 10_000      # facts in the log before a whole map is written, however small that is
-TIME_EVERY_S = 5.0
-RETRY_S = 10.0          # after the disk took nothing
 _FACT_BYTES = 120       # of a fact in the queue, roughly
 _STATES = {s.value: s for s in State}
 
@@ -150,39 +148,35 @@
 
     def __init__(self, folder: Path, behind: Behind, log: Callable[[str], None]) -> None:
         self.folder, self.behind, self.log = folder, behind, log
-        self.logged = 0                 # facts in the log
+        self.keep = Keep()
         self.writer: Writer | None = None
-        self.rest = 0.0                 # until when the disk is let alone (monotonic)
-        self.due = True                 # a whole map must be written before any more of the log
-        self.timed = 0.0
         self.problem = ""               # set by the thread
 
     def told(self, value: Delta | Fact, m: ExtentMap) -> None:
         """`m` is the map with it."""
         count = len(value.facts) if isinstance(value, Delta) else 1
-        self.logged += count
         self._append([4 if isinstance(value, Delta) else 5, value], count, m)
 
     def whole(self, m: ExtentMap) -> None:
         """The map is whole now; noted now and then."""
-        if time.monotonic() - self.timed >= TIME_EVERY_S:
-            self.timed = time.monotonic()
+        if self.keep.time_due(time.monotonic()):
             self._append([6, time.time()], 1, m)
 
     def _append(self, row: list[Any], count: int, m: ExtentMap) -> None:
         if self.problem:
             self.log(self.problem)
-            self.problem, self.due, self.rest = "", True, time.monotonic() + RETRY_S
-        if time.monotonic() < self.rest:
+            self.problem = ""
+            self.keep.failed(time.monotonic())
+        what = self.keep.what(time.monotonic(), count, len(m))
+        if what is Write.NOTHING:
             return
-        if self.due or self.logged > max(LOG_LEAST, len(m)):
-            self.due, self.logged = False, 0
+        if what is Write.WHOLE:
             work, size = functools.partial(self._write_whole, m, time.time()), 0    # it shares the map's memory
         else:
             work, size = functools.partial(self._write_row, row), count * _FACT_BYTES
         if not self.behind.put(work, size):
             self.log("the disk is too slow")
-            self.due, self.rest = True, time.monotonic() + RETRY_S
+            self.keep.failed(time.monotonic())
 
     # ------------------------------------------------------------ in the thread
 
--- a/fawnspool/head/mover.py
+++ b/fawnspool/head/mover.py
@@ -13,12 +13,11 @@
 
 from fawnspool.extents.copies import Role
 from fawnspool.extents.facts import Fact
-from fawnspool.extents.moves import Move, Seen, Step, next_step
+from fawnspool.extents.moves import Move, Seen, Step, next_step, pause, tell_first
 from fawnspool.head.places import MapClient, PlacesError
 from fawnspool.net.client import Broken, NotReached, Pool, call
 from fawnspool.net.http import BadMessage
 
-LEAST_S, MOST_S = 0.005, 0.5    # between two looks at nodes that do not answer or are unsure
 _BAD = (NotReached, Broken, BadMessage, TimeoutError, msgspec.MsgspecError, PlacesError)
 
 
@@ -44,7 +43,7 @@
              last: Move | None = None) -> Step:
         """Bring the extent to a cell, or give that up where that is still safe: DONE, LOST (another move has won, or
         there is nothing to move), or WAIT where the deadline (monotonic) came first. last: a move that was begun."""
-        move, pause = last, LEAST_S
+        move, looks = last, 0
         while time.monotonic() < deadline:
             step = Step.WAIT
             try:
@@ -63,10 +62,8 @@
             if step in (Step.DONE, Step.LOST):
                 return step
             if step is Step.WAIT:
-                gevent.sleep(min(pause, max(0.0, deadline - time.monotonic())))
-                pause = min(2 * pause, MOST_S)
-            else:
-                pause = LEAST_S
+                gevent.sleep(max(0.0, min(pause(looks), deadline - time.monotonic())))
+            looks = looks + 1 if step is Step.WAIT else 0
         return Step.WAIT
 
     def _serves(self, volume: str, extent: str, fact: Fact) -> bool:
@@ -80,18 +77,9 @@
         fact = self.places.fact(volume, extent)
         mapped = move.generation if fact is None else fact.stamp.generation      # deleted: nobody needs the flip
         source, dest = self.look(move.source, volume, extent), self.look(move.to, volume, extent)
-        if fact is not None and source is not None and source.generation < 0 and source.role is Role.OWNER and \
-                mapped == move.generation - 1 and fact.cell == move.source:
-            self._step(move.source, volume, extent, "own", mapped)
+        if fact is not None and (tell := tell_first(move, source, dest, mapped, fact.cell)) is not None:
+            self._step(tell.cell, volume, extent, tell.step, tell.generation, mine=tell.mine)
             return Step.COPY
-        for cell, seen in ((move.source, source), (move.to, dest)):
-            if fact is not None and seen is not None and seen.role is Role.UNSURE:
-                # Data of the move's own generation at its new node: it had opened, and the fence names it.
-                opened = cell == move.to and seen.generation == move.generation and source is not None and \
-                    source.role is Role.FENCED and (source.generation, source.to) == (move.generation, move.to)
-                self._step(cell, volume, extent, "confirm", move.generation if opened else fact.stamp.generation,
-                           mine=opened or fact.cell == cell)
-                return Step.COPY
         step = next_step(move, source, dest, mapped, undo)
         if fact is None and step is Step.LOST:
             return step
--- a/fawnspool/head/places.py
+++ b/fawnspool/head/places.py
@@ -196,6 +196,8 @@
             raise ValueError(f"a map of {count} shards")
         if count != len(self.map.shards):       # another map: of the one held nothing can be joined
             self._shards(count)
+            if self.file is not None:
+                self.file.keep.anew()
 
     def told(self, delta: Delta) -> None:
         old, now = self.map, time.monotonic()
--- a/fawnspool/standins/catalogue.py
+++ b/fawnspool/standins/catalogue.py
@@ -24,8 +24,9 @@
 from fawnspool.extents.history import Past, Way
 from fawnspool.extents.map import shard_of
 from fawnspool.net.http import BadMessage
-from fawnspool.net.server import Exchange, Server
+from fawnspool.net.server import Exchange
 from fawnspool.records.frames import MAGIC, Reader
+from fawnspool.standins.service import Service
 
 SHARDS = 64
 LIST_MOST = 1000
@@ -254,32 +255,19 @@
     return [(*name, *place) for name, place in places.items()]
 
 
-class CatalogueServer:
+class CatalogueServer(Service):
     """The map service over HTTP."""
 
     def __init__(self, address: tuple[str, int], catalogue: Catalogue) -> None:
-        self.catalogue, self.where = catalogue, address
-        self.calls = 0
-        self.server: Server | None = None
-        self.start()
+        self.catalogue, self.calls = catalogue, 0
+        super().__init__(address)
 
     @property
     def address(self) -> tuple[str, int]:
         return self.where
 
-    def start(self) -> None:
-        if self.server is None:
-            self.server = Server(self.where, self._handle, idle_close=120.0)
-            self.where = self.server.address
-            self.server.start()
-
-    def gone(self) -> None:
-        """Out of reach: nothing listens, what was open is reset."""
-        if self.server is not None:
-            self.server.reset_all()
-            self.server.stop()          # also the greenlet that accepts: until it is gone, the address is taken
-            self.server = None
-            self.catalogue.watchers.clear()
+    def _left(self) -> None:
+        self.catalogue.watchers.clear()
 
     def _handle(self, exchange: Exchange) -> None:
         self.calls += 1
@@ -337,9 +325,6 @@
     def _line(self, exchange: Exchange, text: bytes) -> None:
         exchange.write(b"%x\r\n%s\n\r\n" % (len(text) + 1, text), time.monotonic() + 5.0)
 
-    def stop(self) -> None:
-        self.gone()
-
 
 def read_told(text: str, shards: int) -> list[tuple[int, int]]:
     """How far a head was told, `epoch.version` a shard; nothing where it knows another number of shards."""
--- a/fawnspool/standins/moving.py
+++ b/fawnspool/standins/moving.py
@@ -10,57 +10,16 @@
 from __future__ import annotations
 
 import os
-from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
 
-from fawnspool.extents.copies import Answer, Copy, Role
-from fawnspool.extents.moves import CLOSE, Seen
+from fawnspool.extents.copies import Answer, Role, Side
 from fawnspool.records.frames import Reader, Writer
 from fawnspool.standins.store import Store
 
 LONG = 1000             # rows beyond twice the extents after which the file is written anew at a start
 
 
-@dataclass(slots=True)
-class Side(Copy):
-    """A copy held as one object: `position` counts writes, and what is kept is the object itself."""
-
-    kept: bool = True
-
-    def all_there(self) -> bool:
-        return self.kept
-
-    def own(self, generation: int) -> Answer:
-        """The first position is so far on that a copy comes before a fence, however few writes there were."""
-        done = Copy.own(self, generation)
-        if done is Answer.DONE:
-            self.position = CLOSE + 1
-        return done
-
-    def fill(self, generation: int) -> Answer:
-        done = Copy.fill(self, generation)
-        if done is Answer.DONE and self.position == 0:
-            self.kept = True
-        return done
-
-    def whole(self, generation: int, position: int) -> Answer:
-        """The object as it was at a position of the source; an older one changes nothing."""
-        if self.role is not Role.FILLING or self.generation != generation:
-            return Answer.NO
-        self.position = max(self.position, position)
-        return Answer.DONE
-
-    def forget(self, generation: int) -> Answer:
-        done = Copy.forget(self, generation)
-        if done is Answer.DONE:
-            self.kept = False
-        return done
-
-    def seen(self) -> Seen:
-        return Seen(self.role, self.generation, self.position, self.to, self.fence, self.kept)
-
-
 class Sides:
     """All rows of one node."""
 
@@ -124,34 +83,7 @@
              position: int = 0, mine: bool = False) -> bool:
         """One step of a move; False: it may not be taken. Raises ValueError for what is no step."""
         s = self.side(volume, extent)
-        if step == "own":
-            if s.role is not Role.OWNER or s.generation >= 0:
-                return s.role is Role.OWNER and s.generation == generation
-            s.role = Role.ABSENT        # it holds it, and never took part in a move
-            done = s.own(generation)
-        elif step == "fill":
-            done = s.fill(generation)
-        elif step == "whole":
-            done = s.whole(generation, position)
-        elif step == "close":
-            done = s.close(generation, to)[0]
-        elif step == "open":
-            done = s.open(generation, fence)
-        elif step == "forget":
-            done = s.forget(generation)
-        elif step == "cancel":
-            done = s.cancel(generation)
-        elif step == "reopen":
-            done = s.reopen(generation)
-        elif step == "confirm":
-            # Nothing of a move stands with the data: the node never fenced them.
-            s.generation = generation if s.generation < 0 and mine and s.kept else s.generation
-            done = s.confirm(generation, mine)
-            if done is Answer.DONE and s.role is Role.OWNER:
-                s.position = max(s.position, CLOSE + 1)
-        else:
-            raise ValueError(f"no step of a move: {step[:40]!r}")
-        if done is not Answer.DONE:
+        if not s.step(step, generation, to, fence, position, mine):
             return False
         self._keep(volume, extent, s)
         return True
--- a/fawnspool/standins/nodelist.py
+++ b/fawnspool/standins/nodelist.py
@@ -21,7 +21,8 @@
 from gevent.queue import Empty, Queue
 
 from fawnspool.net.http import BadMessage
-from fawnspool.net.server import Exchange, Server
+from fawnspool.net.server import Exchange
+from fawnspool.standins.service import Service
 
 _KEEP = 1000            # changes kept for a watch that comes back
 
@@ -45,7 +46,7 @@
                 "phase": self.phase, "kind": self.kind, "size": self.size, "age_s": age}
 
 
-class NodeListServer:
+class NodeListServer(Service):
     """Holds the list; `change` is told at once to whoever watches, after `late` seconds."""
 
     def __init__(self, address: tuple[str, int], entries: list[Entry],
@@ -54,23 +55,10 @@
         self.version, self.late, self.told = 1, 0.0, told
         self.changes: list[tuple[int, Entry]] = []
         self.watchers: dict[Any, tuple[int, Queue[Any]]] = {}
-        self.where = address
-        self.server: Server | None = None
-        self.start()
-
-    def start(self) -> None:
-        if self.server is None:
-            self.server = Server(self.where, self._handle, idle_close=120.0)
-            self.where = self.server.address
-            self.server.start()
-
-    def gone(self) -> None:
-        """Out of reach: nothing listens, what was open is reset."""
-        if self.server is not None:
-            self.server.close_listener()
-            self.server.reset_all()
-            self.server = None
-            self.watchers.clear()
+        super().__init__(address)
+
+    def _left(self) -> None:
+        self.watchers.clear()
 
     def change(self, entry: Entry) -> None:
         """An entry is new or another; phase "gone" takes it off the list."""
@@ -136,6 +124,3 @@
         began = time.monotonic()
         exchange.write(b"%x\r\n%s\r\n" % (len(line), line), time.monotonic() + 5.0)
         self._tell(head, entries, began)
-
-    def stop(self) -> None:
-        self.gone()
--- a/tests/e2e/test_map.py
+++ b/tests/e2e/test_map.py
@@ -12,6 +12,7 @@
 import pytest
 from gevent import socket
 
+from fawnspool.extents import keep
 from fawnspool.extents.map import ExtentMap
 from fawnspool.extents.stale import Terms
 from fawnspool.head import mapfile
@@ -139,14 +140,15 @@
 
 
 def test_another_number_of_shards_is_another_map(heads: Heads) -> None:
-    a = heads.head()
+    a = heads.head("disk")
     heads.catalogue.put("v", "k", 1, 1)
-    wait_for(lambda: cell(a, "k") == 1)
+    wait_for(lambda: cell(a, "k") == 1 and read(heads.tmp / "disk").map is not None)
     other = Catalogue(shards=7)
     other.put("v", "z", 2, 1)
     heads.replace(other)
     wait_for(lambda: cell(a, "z") == 2)
     assert cell(a, "k") is None and len(a.map.shards) == 7
+    wait_for(lambda: len(read(heads.tmp / "disk").map.shards) == 7)     # type: ignore[union-attr]
 
 
 @pytest.mark.parametrize("line", [b"{}", b"[" * 5000, b'{"shards": 0}', b'{"shards": 1e9}', b'{"shards": "4"}',
@@ -278,13 +280,13 @@
     problems: list[str] = []
     assert a.file is not None
     a.file.log = problems.append
-    monkeypatch.setattr(mapfile, "RETRY_S", 0.05)
+    monkeypatch.setattr(keep, "RETRY_S", 0.05)
     real = mapfile.write
 
     def full(path: Path, m: Any, at: float) -> None:
         raise OSError(28, "No space left on device")
     monkeypatch.setattr(mapfile, "write", full)
-    a.file.due = True
+    a.file.keep.anew()
     heads.catalogue.put("v", "a", 1, 1)
     wait_for(lambda: cell(a, "a") == 1 and a.file is not None and a.file.problem)
     heads.catalogue.put("v", "b", 2, 1)
@@ -297,7 +299,7 @@
 
 
 def test_the_log_does_not_outgrow_the_map(heads: Heads, monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(mapfile, "LOG_LEAST", 50)
+    monkeypatch.setattr(keep, "LOG_LEAST", 50)
     a = heads.head("disk")
     wait_for(a.reachable)
     for n in range(400):
--- a/tests/e2e/test_moving.py
+++ b/tests/e2e/test_moving.py
@@ -317,6 +317,23 @@
     assert rig.nodes[at].sides.rows == {} and read(rig) == b"first"
 
 
+def test_a_read_that_is_running_and_a_write_that_comes_slowly_outlive_a_move(rig: Rig) -> None:
+    body = bytes(range(256)) * 180_000          # 46 MB: more than the sockets between hold
+    at = put(rig, body=body)
+    reader = Client(rig.address)
+    reader.sock.sendall(f"GET {PLACE}k HTTP/1.1\r\nHost: t\r\nRange: bytes=100-\r\n\r\n".encode())
+    wait_for(lambda: rig.nodes[at].server.busy())
+    writer = Client(rig.address)
+    writer.sock.sendall(f"PUT {PLACE}k HTTP/1.1\r\nHost: t\r\nContent-Length: 6\r\n\r\nsec".encode())
+    gevent.sleep(0.05)
+    assert mover(rig).move("v", "k", (at + 1) % 3, soon()) is Step.DONE
+    assert rig.nodes[at].store.find("v", "k") is None and rig.nodes[at].server.busy()      # still being read
+    got: Any = reader.answer()
+    assert got.status == 206 and got.data == body[100:]
+    writer.sock.sendall(b"ond")
+    assert writer.answer("PUT").status == 200 and read(rig) == b"second" and owners(rig) == [(at + 1) % 3]
+
+
 def test_a_request_that_keeps_an_order_is_not_sent_on_behind_later_ones(rig: Rig) -> None:
     at = put(rig)
     rig.catalogue.catalogue.watchers.clear()
--- a/tests/test_moves.py
+++ b/tests/test_moves.py
@@ -6,9 +6,8 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule, run_state_machine_as_test
 
-from fawnspool.extents.copies import Answer, Copy, Role, Write
-from fawnspool.extents.moves import Move, Seen, Step, next_step
-from fawnspool.standins.moving import Side
+from fawnspool.extents.copies import Answer, Copy, Role, Side, Write
+from fawnspool.extents.moves import Move, Seen, Step, Tell, next_step, tell_first
 
 NODES = 3
 
@@ -292,3 +291,21 @@
         assert kept.reopen(1) is Answer.DONE and kept.generation == 2
     assert c.forget(1) is Answer.DONE
     assert c.reopen(1) is Answer.NO and c.role is Role.FENCED
+
+
+MOVE = Move(0, 1, 5)
+
+
+@pytest.mark.parametrize(("source", "dest", "mapped", "cell", "told"), [
+    (Seen(Role.OWNER, -1), Seen(Role.ABSENT, -1), 4, 0, Tell(0, "own", 4)),
+    (Seen(Role.OWNER, -1), Seen(Role.ABSENT, -1), 5, 0, None),              # another move has won meanwhile
+    (Seen(Role.OWNER, 4), Seen(Role.ABSENT, -1), 4, 0, None),
+    (Seen(Role.UNSURE, 4), None, 4, 0, Tell(0, "confirm", 4, True)),
+    (Seen(Role.UNSURE, 4), None, 5, 1, Tell(0, "confirm", 5, False)),
+    (Seen(Role.FENCED, 5, to=1), Seen(Role.UNSURE, 5), 4, 0, Tell(1, "confirm", 5, True)),      # it had opened
+    (Seen(Role.FENCED, 5, to=2), Seen(Role.UNSURE, 5), 4, 0, Tell(1, "confirm", 4, False)),     # not by this fence
+    (Seen(Role.FENCED, 5, to=1), Seen(Role.UNSURE, -1), 4, 0, Tell(1, "confirm", 4, False)),
+    (None, Seen(Role.UNSURE, 5), 5, 1, Tell(1, "confirm", 5, True))])
+def test_what_a_node_is_told_before_any_step(source: Seen | None, dest: Seen | None, mapped: int, cell: int,
+                                             told: Tell | None) -> None:
+    assert tell_first(MOVE, source, dest, mapped, cell) == told
--- a/tests/test_stale.py
+++ b/tests/test_stale.py
@@ -9,6 +9,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from fawnspool.extents.keep import LOG_LEAST, RETRY_S, Keep, Write
 from fawnspool.extents.map import ExtentMap, shard_of
 from fawnspool.extents.stale import Do, Staleness, Terms
 
@@ -163,3 +164,23 @@
     s = knows()
     assert s.first_within(10.0) == s.WAITS * s.ask_s
     assert s.first_within(s.wrong_s + 0.001) == pytest.approx(0.001) and s.first_within(0.0) == 0.0
+
+
+def test_a_moved_extent_is_followed_at_once_then_slower_and_not_for_ever() -> None:
+    s = knows()
+    assert s.follow(0, True, 1.0, False) == 0.0
+    pauses = [s.follow(turn, turn % 2 == 0, 10.0, False) for turn in range(1, s.FOLLOWED - 1)]
+    assert all(p is not None and p > 0 for p in pauses) and (pauses[-1] or 0) > (pauses[0] or 0)
+    assert s.follow(s.FOLLOWED - 1, True, 10.0, False) is None
+    assert s.follow(0, True, 10.0, True) is None            # its body came once, or it keeps an order
+    assert s.follow(0, False, 0.0001, False) is None and s.follow(0, True, 0.0, False) is None
+
+
+def test_the_map_goes_to_disk_whole_at_first_when_the_log_is_long_and_after_a_failure() -> None:
+    k = Keep()
+    assert [k.what(1.0, 1, 5) for _ in range(2)] == [Write.WHOLE, Write.ROW]
+    assert k.what(2.0, LOG_LEAST, 5) is Write.WHOLE and k.what(2.0, 1, 5) is Write.ROW
+    assert k.what(3.0, LOG_LEAST, 3 * LOG_LEAST) is Write.ROW       # a large map is written more seldom
+    k.failed(10.0)
+    assert k.what(10.0 + RETRY_S / 2, 1, 5) is Write.NOTHING and k.what(10.0 + RETRY_S, 1, 5) is Write.WHOLE
+    assert k.time_due(100.0) and not k.time_due(100.1)
