--- a/days/still.hcl
+++ b/days/base/still.hcl
@@ -1,4 +1,4 @@
-base = "base/short.hcl"
+base = "short.hcl"
 
 day {
   title = "Nothing goes wrong"
