Hold duties by lease and fence, drain cells under them, and cut links between heads in drills

Nothing in the fleet could be done by one head alone: a drain was a command that an operator ran by hand.

fawnspool/duties/ decides (no I/O, no clock): seats of voters, claims of holders, calls to duties that nobody holds, fences, drains, comparisons. head/duties.py and head/works.py carry out; votes are on disk before they are said (head/votefile.py). Nodes and the map service take a step only under the newest token, kept before the step. head/peers.py numbered lives by the wall clock and dropped a lower one for good: a head restarted after its clock was set back was never heard again. connections/lives.py takes such a life once the one before has been silent for 3 s.

The drill gets links between heads, nodes and services that are cut one way or both, and troubles that hit the head that holds most. rules/duties.py judges from what places took.

--- a/fawnspool/cli/drill.py
+++ b/fawnspool/cli/drill.py
@@ -120,6 +120,12 @@
         w = said["wrong_sends"]
         table(f"Sent to a node that the extent had left, by the time since its flip ({w['moves']} moves)",
               [*w["by_time"], "not open yet", "latest s"], [[*w["by_time"].values(), w["not_yet"], w["latest_s"]]])
+    if said["duties"]:
+        d = said["duties"]
+        click.echo(f"duties: {d['handed_over']} hand-overs, {d['without_cause']} without a cause; {d['fenced']} steps "
+                   f"refused by fences; {d['moved']} extents moved, {d['left']} left in drained cells")
+        table("From a fault until the next holder showed its token", ["cause", "hand-overs", "p50 s", "worst s"],
+              [list(g.values()) for g in d["gaps"]])
     worst = said["worst_window"]
     click.echo(f"worth earned over due: {whole['share']:.3f}; worst 5 s: {worst['share']:.3f} from {worst['from_s']} s")
     if said["plain"]:
--- a/fawnspool/cli/serve.py
+++ b/fawnspool/cli/serve.py
@@ -66,6 +66,7 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         gevent.signal_handler(number, end.set)
     end.wait()
+    head.hand_over()
     api.stop(grace=2.0)
     head.stop()
     for node in nodes:
--- a/fawnspool/cli/status.py
+++ b/fawnspool/cli/status.py
@@ -39,6 +39,14 @@
                f"{'reachable' if places['reachable'] else 'SERVICE OUT OF REACH'}, "
                f"{'never whole' if places['age_s'] is None else 'whole ' + str(places['age_s']) + ' s ago'}, "
                f"{places['wrong_sends']} wrong sends")
+    if (d := said.get("duties")) is not None:
+        held = ", ".join(f"{name} (token {row['token']})" for name, row in d["held"].items()) or "none"
+        click.echo(f"duties held: {held}; {d['took']} taken, {sum(d['lost'].values())} given up, {d['fenced']} steps "
+                   f"refused by fences, {d['strangers']} datagrams of other settings")
+        if (v := d["voter"]) is not None:
+            rest = ", ".join(f"{name} for {s} s" for name, s in v["unheld_s"].items()) or "none"
+            click.echo(f"voter: {'gives votes' if v['votes'] else 'WITHOUT MEMORY, learns'}"
+                       f"{', VOTES CAN NOT BE KEPT' if v['disk_failed'] else ''}; held by nobody: {rest}")
     names = ["node", "address", "zone", "cell", "listed", "state", "bound", "held", "out", "response_ms", "wait_ms",
              "bad_signs", "heard_s"]
     table("Nodes", names, [[row.get(n, "-") for n in names] for row in said["nodes"]])
--- a/fawnspool/config/head.py
+++ b/fawnspool/config/head.py
@@ -145,6 +145,37 @@
     tells_others: bool = spec(True)
 
 
+@dataclass(frozen=True)
+class DutyBlock:
+    """A kind of duty; the label is `drain` or `compare`. shards: it is divided into so many, each held by one head.
+    moves, bytes: a second, of the whole fleet. busy: requests that a head has in hand from which on it moves nothing.
+    every: of `compare`, between two comparisons."""
+
+    name: str = spec(label=True)
+    shards: int = spec(8, low=1, high=1024)
+    moves: float = spec(50.0, low=0.01)
+    bytes: int = spec(64 << 20, kind="size", low=1)
+    busy: int = spec(64, low=1)
+    every: float = spec(30.0, kind="time", low=0.1)
+
+
+@dataclass(frozen=True)
+class DutiesBlock:
+    """Duties that one head holds at a time. voters: numbers of the heads that vote, the same at all heads, as are
+    lease, drift and the shards. drift: bound on how far any clock's rate is off: oscillators and what disciplines
+    them stay under 0.001 together, so 0.01 leaves ten times that. clock_rate: for drills, this head's clock runs so
+    many times as fast."""
+
+    voters: tuple[int, ...] = spec()
+    lease: float = spec(2.0, kind="time", low=0.2)
+    drift: float = spec(0.01, low=0, high=0.2)
+    most: int = spec(64, low=1)
+    sync: bool = spec(True)                  # votes are forced to the disk before they are said
+    record: str = spec("")                   # file for what this head held; empty: none
+    clock_rate: float = spec(1.0, low=0.1, high=10)
+    duty: tuple[DutyBlock, ...] = block(DutyBlock, many=True)
+
+
 @dataclass(frozen=True)
 class EmbeddedBlock:
     """Stand-in nodes inside the head's own process, for a first run and for trying things out."""
@@ -188,6 +219,27 @@
     clients: ClientsBlock = block(ClientsBlock)
     service: ServiceBlock = block(ServiceBlock)
     embedded: EmbeddedBlock | None = block(EmbeddedBlock, optional=True)
+    duties: DutiesBlock | None = block(DutiesBlock, optional=True)
+
+
+KINDS_OF_DUTY = ("drain", "compare")
+VOTERS = (3, 5, 7)      # an even number bears no more losses than the odd one below it
+
+
+def check_duties(d: DutiesBlock, heads: int, reader: Reader) -> None:
+    """What a `duties` block must be among so many heads."""
+    if len(set(d.voters)) not in VOTERS or len(set(d.voters)) != len(d.voters):
+        reader.wrong(d, "duties.voters", f"expected 3, 5 or 7 different heads, found {list(d.voters)}")
+    elif bad := [v for v in d.voters if not 0 <= v < heads]:
+        reader.wrong(d, "duties.voters", f"there is no head {bad[0]}: numbers lie from 0 to heads - 1 = {heads - 1}")
+    if not d.duty:
+        reader.wrong(d, "duties.duty", f'at least one is needed: duty "{KINDS_OF_DUTY[0]}" {{ ... }}')
+    for row in d.duty:
+        if row.name not in KINDS_OF_DUTY:
+            reader.wrong(row, f"duties.duty.{row.name}", f"the label is one of {', '.join(KINDS_OF_DUTY)}")
+    shards = sum(row.shards for row in d.duty)
+    if shards > d.most * heads:
+        reader.wrong(d, "duties.most", f"{heads} heads hold {d.most * heads} duties at most, there are {shards}")
 
 
 def check(config: HeadConfig, reader: Reader) -> None:
@@ -219,6 +271,15 @@
     for peer in config.peer:
         if not peer.name.isdigit() or int(peer.name) >= config.head.heads:
             reader.wrong(peer, f"peer.{peer.name}", "the label is the peer's number, under head.heads")
+    if config.duties is not None:
+        check_duties(config.duties, config.head.heads, reader)
+        if config.embedded is not None:
+            reader.wrong(config.duties, "duties", "a head with embedded nodes shares them with nobody: nothing to hold")
+        known = {int(p.name) for p in config.peer if p.name.isdigit()} | {config.head.number}
+        if missing := sorted(set(config.duties.voters) - known):
+            reader.wrong(config.duties, "duties.voters", f"head {missing[0]} votes and has no peer block here")
+        if not config.head.peer_listen:
+            reader.wrong(config.head, "head.peer_listen", "is missing: heads speak about duties by datagrams")
     if config.embedded is None:
         for name, value in (("list.address", config.list.address),
                             ("catalogue.address", config.catalogue.address)):
--- a/fawnspool/days/day.py
+++ b/fawnspool/days/day.py
@@ -7,10 +7,12 @@
     AttemptsBlock,
     ClassBlock,
     ClientsBlock,
+    DutiesBlock,
     NodesBlock,
     PlanBlock,
     ServiceBlock,
     UnitsBlock,
+    check_duties,
 )
 from fawnspool.config.schema import Reader, block, spec
 
@@ -20,7 +22,9 @@
 TRAFFIC_FAULTS = ("burst", "plan_burst", "hot_volumes", "scan", "lead_moves", "impatient", "leavers")
 HEAD_FAULTS = ("head_roll", "head_stall", "head_kill")
 MAP_FAULTS = ("moves", "map_gone")
-KINDS = NODE_FAULTS + LIST_FAULTS + TRAFFIC_FAULTS + HEAD_FAULTS + MAP_FAULTS
+DUTY_FAULTS = ("drain", "duty_kill", "duty_stall", "duty_cut", "duty_one_way", "duty_nodes", "duty_voters", "duty_lost",
+               "duty_net", "duty_quiet", "duty_term")
+KINDS = DUTY_FAULTS + NODE_FAULTS + LIST_FAULTS + TRAFFIC_FAULTS + HEAD_FAULTS + MAP_FAULTS
 
 
 @dataclass(frozen=True)
@@ -116,6 +120,7 @@
     attempts: AttemptsBlock = block(AttemptsBlock)
     clients: ClientsBlock = block(ClientsBlock)
     service: ServiceBlock = block(ServiceBlock)
+    duties: DutiesBlock | None = block(DutiesBlock, optional=True)
     trouble: tuple[TroubleBlock, ...] = block(TroubleBlock, many=True)
 
     @property
@@ -159,7 +164,13 @@
             reader.wrong(p, f"plan.{p.name}.limit_depth",
                          f"through {v.heads} heads it is {day.units.largest * v.heads} at least, or the largest "
                          "request never fits")
+    if day.duties is not None:
+        check_duties(day.duties, day.day.heads, reader)
+        if not day.day.peers:
+            reader.wrong(day.duties, "duties", "heads speak about them by datagrams: set day.peers")
     for x in day.trouble:
+        if x.kind in DUTY_FAULTS and day.duties is None:
+            reader.wrong(x, f"trouble.{x.name}.kind", f"{x.kind} needs a duties block")
         if x.at >= day.day.length:
             reader.wrong(x, f"trouble.{x.name}.at", f"lies behind the day's end at {day.day.length:g} s")
         if x.kind == "plan_burst" and x.plan not in plans:
--- a/fawnspool/drill/report.py
+++ b/fawnspool/drill/report.py
@@ -6,6 +6,7 @@
 from fawnspool.days.day import Day
 from fawnspool.days.worth import Row
 from fawnspool.drill.play import Result
+from fawnspool.rules.duties import DutyFinding
 from fawnspool.rules.wrong import EDGES
 
 COLUMNS = ("class", "plan", "asked", "in time", "late", "refused", "failed", "left", "earned", "due", "share")
@@ -19,6 +20,14 @@
             "share": round(row.share, 4)}
 
 
+def _duties(d: DutyFinding) -> dict[str, Any]:
+    gaps = [{"cause": why, "count": len(g), "p50_s": round(sorted(g)[len(g) // 2], 3), "worst_s": round(max(g), 3)}
+            for why, g in sorted(d.gaps.items())]
+    return {"moved": d.moved, "left": d.left, "fenced": d.fenced, "handed_over": d.handed_over,
+            "without_cause": d.without_cause, "relieved": d.relieved, "gaps": gaps,
+            "all_gaps": {k: [round(x, 4) for x in v] for k, v in sorted(d.gaps.items())}}
+
+
 def values(day: Day, seed: int, result: Result, plain: Result | None) -> dict[str, Any]:
     """All of it, for JSON."""
     v = result.verdict
@@ -40,4 +49,5 @@
         "wrong_sends": None if result.wrong is None else {
             "moves": result.wrong.moves, "by_time": dict(zip(WRONG_COLUMNS, result.wrong.counts, strict=True)),
             "not_yet": result.wrong.not_yet, "latest_s": round(result.wrong.worst, 4)},
+        "duties": None if result.duties is None else _duties(result.duties),
         "events": [[round(t, 3), text] for t, text in result.events]}
--- a/fawnspool/head/head.py
+++ b/fawnspool/head/head.py
@@ -19,11 +19,13 @@
 from fawnspool.control import Controller
 from fawnspool.extents.stale import Terms
 from fawnspool.head.core import Core, PoolBounds
+from fawnspool.head.duties import Duties
 from fawnspool.head.lists import FixedList, ListClient, Row
 from fawnspool.head.nodespeech import NodeSpeech
 from fawnspool.head.peers import Peers
 from fawnspool.head.pending import Body, Pending
 from fawnspool.head.places import MapClient, Places, Source
+from fawnspool.head.works import Works
 from fawnspool.net.client import Broken, NotReached, call
 from fawnspool.net.http import BadMessage
 from fawnspool.net.nodewire import TOLD, read_told
@@ -65,7 +67,7 @@
         recorder = Recorder(h.record, h.policy, settings, h.seed, module_hash(module),
                             self.behind) if h.record else None
         traces = Traces(h.trace, h.trace_share, f"head-{h.number}", self.behind) if h.trace else None
-        self.figures = HeadMetrics(self.gauges, lambda: self.places.status())
+        self.figures = HeadMetrics(self.gauges, lambda: self.places.status(), self.duty_status)
         super().__init__(settings, module, NodeSpeech(h.number, settings, c.clients.replay_bytes),
                          PoolBounds(c.nodes.connections, c.nodes.connect_timeout, c.nodes.idle_close),
                          self.figures, logs.get(head=h.number), recorder=recorder, traces=traces)
@@ -81,6 +83,7 @@
         self.places = Places(source, Terms(heads=h.heads), h.seed, self.log) if source is not None \
             else self._places(config)
         self.peers: Peers | None = None
+        self.duties: Duties | None = None
 
     def _places(self, config: HeadConfig) -> Places:
         k = config.catalogue
@@ -97,8 +100,30 @@
         super().start()
         self.list.start()
         self.places.start()
+        if self.config.duties is not None and self.peers is not None:
+            self._start_duties(self.peers)
+
+    def _start_duties(self, peers: Peers) -> None:
+        c, k = self.config, self.config.catalogue
+        assert c.duties is not None
+        works = Works(self.places, MapClient(address(k.address), k.call_timeout), lambda: self.list.nodes,
+                      lambda: len(self.pending), self.log, k.call_timeout)
+        self.duties = Duties(c.duties, c.head.number, c.head.heads, c.head.seed, Path(c.head.data), peers,
+                             works.by_kind, works.poll, self.log)
+        self.duties.start()
+
+    def hand_over(self) -> None:
+        """What this head holds goes to others at once: the first thing of an end."""
+        if self.duties is not None:
+            self.duties.hand_over()
+
+    def duty_status(self) -> dict[str, Any] | None:
+        """None: this head takes no part in duties."""
+        return None if self.duties is None else self.duties.status()
 
     def stop(self) -> None:
+        if self.duties is not None:
+            self.duties.stop()
         self.list.stop()
         self.places.stop()
         if self.peers is not None:
@@ -183,4 +208,4 @@
                 "in_hand": len(self.pending), "module": {
                     "events": m.module_events, "errors": m.module_errors,
                     "us_per_event": round(m.module_seconds / max(1, m.module_events) * 1e6, 1)},
-                "map": self.places.status(), "nodes": nodes}
+                "map": self.places.status(), "duties": self.duty_status(), "nodes": nodes}
--- a/fawnspool/head/mover.py
+++ b/fawnspool/head/mover.py
@@ -6,11 +6,13 @@
 
 import time
 from collections.abc import Callable
+from typing import Any
 from urllib.parse import urlencode
 
 import gevent
 import msgspec
 
+from fawnspool.duties.fence import Fenced
 from fawnspool.extents.copies import Role
 from fawnspool.extents.facts import Fact
 from fawnspool.extents.moves import Move, Seen, Step, next_step, pause, tell_first
@@ -21,6 +23,11 @@
 _BAD = (NotReached, Broken, BadMessage, TimeoutError, msgspec.MsgspecError, PlacesError)
 
 
+class _Refused(msgspec.Struct):
+    fenced: str
+    newest: int
+
+
 class _Told(msgspec.Struct):
     role: str
     generation: int
@@ -32,11 +39,14 @@
 
 class Mover:
     """`where(cell)`: the address of the node that serves a cell, None: there is none now. taken(step): called before
-    each step, for whoever wants to see or to stop it."""
+    each step, for whoever wants to see or to stop it. stamp(): the duty, token, who and head that each step bears; it
+    raises where the duty is not held any more. left(): seconds that a call may take at most."""
 
     def __init__(self, where: Callable[[int], tuple[str, int] | None], places: MapClient, timeout: float = 2.0,
-                 taken: Callable[[Step], None] = lambda step: None) -> None:
+                 taken: Callable[[Step], None] = lambda step: None, stamp: Callable[[], dict[str, Any]] = dict,
+                 left: Callable[[], float] = lambda: float("inf")) -> None:
         self.where, self.places, self.timeout, self.taken = where, places, timeout, taken
+        self.stamp, self.left = stamp, left
         self.pools: dict[tuple[str, int], Pool] = {}
 
     def move(self, volume: str, extent: str, to: int, deadline: float, undo: bool = False,
@@ -99,24 +109,39 @@
             assert source is not None
             self._step(move.to, volume, extent, "open", g, fence=source.fence)
         elif step is Step.FLIP:
-            self.places.flip(volume, extent, move.to, g)
+            self._flip(volume, extent, move.to, g)
         elif step is Step.FORGET:
             self._step(move.source, volume, extent, "forget", g)
         elif step is Step.CANCEL:
             self._step(move.to, volume, extent, "cancel", g)
         elif step is Step.REOPEN and self._step(move.source, volume, extent, "reopen", g):
-            self.places.flip(volume, extent, move.source, g + 1)
+            self._flip(volume, extent, move.source, g + 1)
+
+    def _flip(self, volume: str, extent: str, cell: int, generation: int) -> None:
+        stamp = self.stamp()
+        self.places.until(time.monotonic() + self.left()).flip(volume, extent, cell, generation, **stamp)
+
+    def raise_fence(self, cell: int) -> bool:
+        """Show the token to a cell's node. Raises Fenced."""
+        try:
+            return self._call(cell, b"POST", "/-/fence", "", "", effect=True)[0] == 200
+        except _BAD:
+            return False
 
     # ------------------------------------------------------------ nodes
 
     def _call(self, cell: int, method: bytes, place: str, volume: str, extent: str, body: bytes = b"",
-              **more: int) -> tuple[int, bytes]:
+              effect: bool = False, **more: int) -> tuple[int, bytes]:
         where = self.where(cell)
         if where is None:
             raise NotReached(f"cell {cell} has no node")
         pool = self.pools.setdefault(where, Pool(where, 8, self.timeout, 10.0))
-        target = f"{place}?{urlencode({'volume': volume, 'key': extent, **more})}".encode()
-        status, data = call(pool, method, target, time.monotonic() + self.timeout, body)
+        stamp = self.stamp() if effect else {}      # after every wait, and just before the step leaves
+        target = f"{place}?{urlencode({'volume': volume, 'key': extent, **more, **stamp})}".encode()
+        status, data = call(pool, method, target, time.monotonic() + min(self.timeout, self.left()), body)
+        if status.code == 403:
+            told = msgspec.json.decode(data, type=_Refused)
+            raise Fenced(told.fenced, told.newest)
         return status.code, data
 
     def look(self, cell: int, volume: str, extent: str) -> Seen | None:
@@ -132,9 +157,9 @@
 
     def _step(self, cell: int, volume: str, extent: str, step: str, generation: int, **more: int) -> bool:
         asked = msgspec.json.encode({"step": step, "generation": generation, **more})
-        return self._call(cell, b"POST", "/-/extent", volume, extent, asked)[0] == 200
+        return self._call(cell, b"POST", "/-/extent", volume, extent, asked, effect=True)[0] == 200
 
     def _copy(self, move: Move, volume: str, extent: str) -> None:
         code, data = self._call(move.source, b"GET", "/-/extent/data", volume, extent)
         if code == 200:
-            self._call(move.to, b"PUT", "/-/extent/data", volume, extent, data, generation=move.generation)
+            self._call(move.to, b"PUT", "/-/extent/data", volume, extent, data, effect=True, generation=move.generation)
--- a/fawnspool/head/peers.py
+++ b/fawnspool/head/peers.py
@@ -1,6 +1,8 @@
 """Datagrams between heads. Lost ones are lost; one that comes twice is dropped, as what they carry must count once.
 
     datagram = b"FP1", u32 sender, u64 life, u64 number, body (256 bytes at most)
+
+A body is the module's, or that of whoever has claimed its leading byte (`claim`).
 """
 from __future__ import annotations
 
@@ -14,33 +16,10 @@
 from gevent import socket
 
 from fawnspool import interface as i
+from fawnspool.connections.lives import Seen
 
 _HEAD = struct.Struct(">3sIQQ")
 BODY_MOST = 256
-_WINDOW = 1024
-
-
-class Seen:
-    """Numbers of one sender's life seen lately; older than the window counts as seen."""
-
-    def __init__(self) -> None:
-        self.life, self.top, self.bits = 0, -1, 0
-
-    def first(self, life: int, number: int) -> bool:
-        """Has this number not come before?"""
-        if life != self.life:
-            if life < self.life:
-                return False        # of an earlier life
-            self.life, self.top, self.bits = life, -1, 0
-        if number > self.top:
-            self.bits = ((self.bits << (number - self.top)) | 1) & ((1 << _WINDOW) - 1)
-            self.top = number
-            return True
-        back = self.top - number
-        if back >= _WINDOW or self.bits >> back & 1:
-            return False
-        self.bits |= 1 << back
-        return True
 
 
 class Peers:
@@ -51,11 +30,16 @@
         self.me, self.addresses, self.tell = me, addresses, tell
         self.life, self.number = time.time_ns(), 0
         self.seen: dict[int, Seen] = {}
+        self.claimed: dict[int, Callable[[int, bytes], None]] = {}
         self.sock = socket.socket(std.AF_INET, std.SOCK_DGRAM)
         self.sock.bind(listen)
         self.address: tuple[str, int] = self.sock.getsockname()
         self.greenlet = gevent.spawn(self._hear)
 
+    def claim(self, leading: int, hear: Callable[[int, bytes], None]) -> None:
+        """Bodies that begin with this byte go to `hear(sender, body)`; the module never sees them."""
+        self.claimed[leading] = hear
+
     def send(self, head: int | None, body: bytes) -> None:
         """To one head, or to every other (None)."""
         self.number += 1
@@ -78,8 +62,13 @@
             magic, sender, life, number = _HEAD.unpack_from(data)
             if magic != b"FP1" or sender not in self.addresses or sender == self.me:
                 continue
-            if self.seen.setdefault(sender, Seen()).first(life, number):
-                self.tell(i.PeerMessage(sender, data[_HEAD.size:]))
+            if self.seen.setdefault(sender, Seen()).first(life, number, time.monotonic()):
+                body = data[_HEAD.size:]
+                hear = self.claimed.get(body[0]) if body else None
+                if hear is not None:
+                    hear(sender, body)
+                else:
+                    self.tell(i.PeerMessage(sender, body))
 
     def stop(self) -> None:
         self.greenlet.kill()
--- a/fawnspool/head/places.py
+++ b/fawnspool/head/places.py
@@ -12,6 +12,7 @@
 import gevent
 import msgspec
 
+from fawnspool.duties.fence import Fenced
 from fawnspool.extents.facts import Delta, DeltaError, Fact, Stamp, State
 from fawnspool.extents.map import ExtentMap, shard_of
 from fawnspool.extents.stale import Do, Staleness, Terms
@@ -57,6 +58,9 @@
         try:
             status, body = call(self.pool, b"POST", target, min(self.deadline, time.monotonic() + self.timeout),
                                 msgspec.msgpack.encode(asked))
+            if status.code == 403:
+                refused = msgspec.msgpack.decode(body, type=_Refused)
+                raise Fenced(refused.fenced, refused.newest)
             if status.code not in (200, 404, 409):
                 raise PlacesError(f"the map service answered {status.code}")
             return status.code, None if status.code == 404 else msgspec.msgpack.decode(body, type=kind)
@@ -77,10 +81,29 @@
         gone: Fact | None = self._call(b"/drop", Fact | None, volume=volume, key=key)[1]
         return gone
 
-    def flip(self, volume: str, key: str, cell: int, generation: int) -> Fact | None:
-        holds: Fact | None = self._call(b"/flip", Fact, volume=volume, key=key, cell=cell, generation=generation)[1]
+    def flip(self, volume: str, key: str, cell: int, generation: int, **stamp: Any) -> Fact | None:
+        """stamp: of a duty, see `duties/fence.py`. Raises Fenced."""
+        holds: Fact | None = self._call(b"/flip", Fact, volume=volume, key=key, cell=cell, generation=generation,
+                                        **stamp)[1]
         return holds
 
+    def fence(self, note: str, **stamp: Any) -> None:
+        """Show a token, and say how the duty fares. Raises Fenced."""
+        self._call(b"/fence", dict, note=note, **stamp)
+
+    def wish(self, name: str, value: str | None) -> None:
+        self._call(b"/wish", dict, name=name, value=value)
+
+    def wishes(self) -> Wishes:
+        """What operators want, and who showed a token last."""
+        out: Wishes = self._call(b"/wishes", Wishes)[1]
+        return out
+
+    def count(self, cell: int) -> tuple[int, int]:
+        """Extents and bytes that lie in a cell."""
+        out: tuple[int, int] = self._call(b"/count", tuple[int, int], cell=cell)[1]
+        return out
+
     def list(self, volume: str, prefix: str, after: str, limit: int) -> tuple[list[tuple[str, int]], bool]:
         _, out = self._call(b"/list", _Listed, volume=volume, prefix=prefix, after=after, limit=limit)
         return out.keys, out.more
@@ -91,6 +114,26 @@
     more: bool
 
 
+class _Refused(msgspec.Struct):
+    fenced: str
+    newest: int
+
+
+class Held(msgspec.Struct):
+    """Who showed a duty's token at the map service last, and when by its wall clock."""
+
+    duty: str
+    token: int
+    head: int
+    at: float
+    note: str = ""
+
+
+class Wishes(msgspec.Struct):
+    wishes: dict[str, str]
+    holders: list[Held]
+
+
 class _Shards(msgspec.Struct):
     shards: int
 
--- /dev/null
+++ b/fawnspool/model/duties.py
@@ -0,0 +1,224 @@
+"""Duties in simulated time: the heads' own `Voter` and `Holder` on clocks that differ, over a network that cuts,
+loses, doubles and delays, with stops, kills and restarts drawn from a seed.
+
+What is checked comes from all heads' state at one true time, which no head can see: two that hold one duty at once, a
+token that does not rise. What is measured: datagrams and bytes of each head, and the time until a duty is held again.
+"""
+from __future__ import annotations
+
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+from random import Random
+from typing import Any
+
+from fawnspool.duties.holder import Holder, Lost, Took
+from fawnspool.duties.messages import FOR_HOLDER, ROWS, Message
+from fawnspool.duties.terms import Terms
+from fawnspool.duties.voter import Keep, Memory, Out, Voter
+from fawnspool.model.engine import Engine
+
+_UDP = 28 + 23          # bytes of IP and UDP headers, and of `head/peers.py`
+
+
+@dataclass(frozen=True)
+class Net:
+    """Seconds and shares. late: of datagrams, by up to `late_by`."""
+
+    delay: float = 0.001
+    loss: float = 0.0
+    twice: float = 0.0
+    late: float = 0.0
+    late_by: float = 0.0
+
+
+@dataclass
+class Host:
+    """One head's machine. rate: of its clock against true time."""
+
+    number: int
+    rate: float = 1.0
+    life: int = 0
+    up: bool = False
+    stopped: bool = False
+    holder: Any = None
+    voter: Any = None
+    disk: dict[int, tuple[int, int]] = field(default_factory=dict)
+    floor: int = -1                     # -1: the disk is empty
+    inbox: list[tuple[int, Message]] = field(default_factory=list)
+    wakes: float = float("inf")
+    sent: int = 0
+    bytes: int = 0
+
+
+class Duties:
+    """`heads` hosts from the start. `wrong` holds what must not be, `gaps` rows of (duty, why it was lost, seconds)."""
+
+    def __init__(self, terms: Terms, seed: int, net: Net, rates: Iterable[float] = ()) -> None:
+        self.terms, self.seed, self.net = terms, seed, net
+        self.random, self.engine = Random(f"{seed}-duties"), Engine()
+        self.hosts = [Host(n) for n in range(terms.heads)]
+        for host, rate in zip(self.hosts, rates, strict=False):
+            host.rate = rate
+        self.cut: set[tuple[int, int]] = set()      # (from, to)
+        self.owner: dict[int, tuple[Host, int, int]] = {}       # duty: who took it last, in which life, which token
+        self.lost: dict[int, tuple[float, str]] = {}
+        self.wrong: list[str] = []
+        self.gaps: list[tuple[int, str, float]] = []
+        self.took = 0
+        for host in self.hosts:
+            self.start(host)
+
+    # ------------------------------------------------------------ hosts
+
+    def clock(self, host: Host) -> float:
+        return 1000.0 + self.engine.now * host.rate
+
+    def start(self, host: Host) -> None:
+        """A new life, with what its disk has."""
+        host.life += 1
+        who = self.random.getrandbits(63) + 1
+        now = self.clock(host)
+        host.up, host.stopped, host.inbox, host.wakes = True, False, [], float("inf")
+        host.holder = Holder(self.terms, host.number, who, self.seed, now)
+        memory = Memory(dict(host.disk), host.floor) if host.floor >= 0 else None
+        host.voter = Voter(self.terms, host.number, who, self.seed, now, memory) \
+            if host.number in self.terms.voters else None
+        self._wake(host, host.life)
+
+    def kill(self, host: Host, why: str = "killed") -> None:
+        self._leaves(host, why)
+        host.up = False
+
+    def wipe(self, host: Host) -> None:
+        """Its disk is empty at its next start."""
+        host.disk, host.floor = {}, -1
+
+    def stop(self, host: Host, why: str = "stopped") -> None:
+        self._leaves(host, why)
+        host.stopped = True
+
+    def go_on(self, host: Host) -> None:
+        if host.up and host.stopped:
+            host.stopped = False
+            inbox, host.inbox = host.inbox, []
+            for sender, m in inbox:
+                self._hear(host, sender, m)
+            self._wake(host, host.life)
+
+    def end(self, host: Host) -> None:
+        """SIGTERM."""
+        self._out(host, host.holder.leave(self.clock(host)))
+        self._happened(host)
+        host.up = False
+
+    def _leaves(self, host: Host, why: str) -> None:
+        if host.up and not host.stopped:
+            for duty, (owner, life, _) in self.owner.items():
+                if owner is host and life == host.life and duty not in self.lost:
+                    self.lost[duty] = (self.engine.now, why)
+
+    def split(self, some: set[int], one_way: bool = False) -> None:
+        """Cut `some` off from the others: both ways, or so that they are heard and do not hear."""
+        rest = [h.number for h in self.hosts if h.number not in some]
+        for a in some:
+            self.cut |= {(b, a) for b in rest}
+            if not one_way:
+                self.cut |= {(a, b) for b in rest}
+
+    # ------------------------------------------------------------ carrying out
+
+    def _wake(self, host: Host, life: int) -> None:
+        if not host.up or host.stopped or life != host.life:
+            return
+        now = self.clock(host)
+        host.wakes = float("inf")
+        self._out(host, host.holder.tick(now))
+        if host.voter is not None:
+            self._out(host, host.voter.tick(now))
+        self._happened(host)
+        self._again(host)
+
+    def _again(self, host: Host) -> None:
+        due = min(host.holder.due(), host.voter.due() if host.voter is not None else float("inf"))
+        at = max(self.engine.now + 0.001, (due - 1000.0) / host.rate)
+        if at < host.wakes:
+            host.wakes = at
+            self.engine.at(at, self._wake_at, host, host.life, at)
+
+    def _wake_at(self, host: Host, life: int, at: float) -> None:
+        if host.wakes == at:
+            self._wake(host, life)
+
+    def _out(self, host: Host, out: list[Out]) -> None:
+        for o in out:
+            if isinstance(o, Keep):
+                host.disk |= {duty: (token, who) for duty, token, who in o.rows}
+                host.floor = max(host.floor, o.floor, 0 if o.rows else -1)
+            else:
+                self._send(host, o.to, o.message)
+
+    def _send(self, host: Host, to: int, m: Message) -> None:
+        if to != host.number:
+            host.sent += 1
+            host.bytes += _UDP + 22 + 13 * min(ROWS, len(m.rows))
+            if (host.number, to) in self.cut or self.random.random() < self.net.loss:
+                return
+        n = self.net
+        for _ in range(2 if to != host.number and self.random.random() < n.twice else 1):
+            delay = n.delay * self.random.uniform(0.5, 1.5) if to != host.number else 0.0
+            if to != host.number and self.random.random() < n.late:
+                delay += self.random.random() * n.late_by
+            self.engine.after(delay, self._arrive, self.hosts[to], host.number, m)
+
+    def _arrive(self, host: Host, sender: int, m: Message) -> None:
+        if not host.up:
+            return
+        if host.stopped:
+            if len(host.inbox) < 1000:
+                host.inbox.append((sender, m))
+            return
+        self._hear(host, sender, m)
+
+    def _hear(self, host: Host, sender: int, m: Message) -> None:
+        now = self.clock(host)
+        self._out(host, host.holder.hear(now, sender, m) if m.kind in FOR_HOLDER else
+                  host.voter.hear(now, sender, m) if host.voter is not None else [])
+        self._happened(host)
+        self._again(host)
+
+    def _happened(self, host: Host) -> None:
+        events, host.holder.events = host.holder.events, []
+        for e in events:
+            if isinstance(e, Took):
+                self._took(host, e)
+            elif isinstance(e, Lost) and (mine := self.owner.get(e.duty)) is not None and mine[0] is host and \
+                    mine[2] == e.token and e.duty not in self.lost:
+                self.lost[e.duty] = (self.engine.now, e.why)
+
+    def _took(self, host: Host, e: Took) -> None:
+        self.took += 1
+        had = self.owner.get(e.duty)
+        if had is not None:
+            other, life, token = had
+            if other is not host and other.life == life and other.up and other.holder.end(e.duty) > self.clock(other):
+                self.wrong.append(f"{self.engine.now:.3f}: duty {e.duty}: {host.number} and {other.number} hold it")
+            if e.token <= token:
+                self.wrong.append(f"{self.engine.now:.3f}: duty {e.duty}: token {e.token} after {token}")
+            if e.duty in self.lost:
+                since, why = self.lost.pop(e.duty)
+                self.gaps.append((e.duty, why, self.engine.now - since))
+        self.owner[e.duty] = (host, host.life, e.token)
+
+    # ------------------------------------------------------------ seeing into it
+
+    def held(self) -> dict[int, int]:
+        """Duty to the head that holds it now."""
+        out = dict[int, int]()
+        for host in self.hosts:
+            if host.up and not host.stopped:
+                now = self.clock(host)
+                out |= {d: host.number for d in host.holder.held if host.holder.end(d) > now}
+        return out
+
+    def run(self, seconds: float) -> None:
+        self.engine.run(self.engine.now + seconds)
--- a/fawnspool/rules/story.py
+++ b/fawnspool/rules/story.py
@@ -17,6 +17,11 @@
                                                      began: when the first byte may have left, t: when the last had
     drill   head  head what                          what is up, killed, or ended
     drill   stall head until                         the head stands still from t to `until`
+    place   effect  node duty token who head what vol key    a step of a mover was taken (node -1: the map service)
+    place   fenced  node duty token who head what newest     one was refused as of an older holder
+    head    duty    head who what duty token end             took, until (renewed), lost; end: of its lease
+    drill   fault   head what until duties                   killed, stopped, cut, ...; what the head held then
+    drill   drained left missing twice                       where extents lay at the end
     any     lag   who s                              how late a timer of this process rang
 """
 from __future__ import annotations
@@ -41,6 +46,11 @@
     ins: list[Row] = field(default_factory=list)
     dids: list[Row] = field(default_factory=list)
     outs: dict[tuple[int, int, int, int], Row] = field(default_factory=dict)     # by node, head, id, attempt
+    effects: list[Row] = field(default_factory=list)        # steps of movers that a place took, with their token
+    fenced: list[Row] = field(default_factory=list)         # steps that a place refused as of an older holder
+    duties: list[Row] = field(default_factory=list)         # heads: took, until, lost
+    faults: list[Row] = field(default_factory=list)         # what the drill did to heads, and to whose links
+    drains: list[Row] = field(default_factory=list)         # what lay where at the end
     fells: list[Row] = field(default_factory=list)
     flips: list[Row] = field(default_factory=list)          # the map service heard that an extent has moved
     elsewheres: list[Row] = field(default_factory=list)     # a node did not serve what it was sent
@@ -111,6 +121,16 @@
                 story.flips.append(row)
             case "elsewhere":
                 story.elsewheres.append(row)
+            case "effect":
+                story.effects.append(row)
+            case "fenced":
+                story.fenced.append(row)
+            case "duty":
+                story.duties.append(row)
+            case "fault":
+                story.faults.append(row)
+            case "drained":
+                story.drains.append(row)
             case "told":
                 story.tolds.append(row)
             case "head":
--- a/fawnspool/standins/moving.py
+++ b/fawnspool/standins/moving.py
@@ -10,9 +10,11 @@
 from __future__ import annotations
 
 import os
+from collections.abc import Callable
 from pathlib import Path
 from typing import Any
 
+from fawnspool.duties.fence import Fence, Fenced
 from fawnspool.extents.copies import Answer, Role, Side
 from fawnspool.records.frames import Reader, Writer
 from fawnspool.standins.store import Store
@@ -103,3 +105,33 @@
     def close(self) -> None:
         if self.writer is not None:
             self.writer.close()
+
+
+class Gate:
+    """A node's fence against older holders of a duty, kept beside its rows: on disk before the step is done."""
+
+    def __init__(self, folder: Path, note: Callable[..., None]) -> None:
+        path = folder / "fences.rec"
+        self.fence = Fence(tuple(row) for row in Reader(path)) if path.exists() else Fence()
+        self.writer, self.note = Writer(path, keep=True), note
+
+    def passes(self, query: dict[str, str], what: str) -> int | None:
+        """None: the step may be done; else the newer token that forbids it. A call without a duty is an operator's
+        own and is not looked at. Raises KeyError or ValueError where it does not read."""
+        if "duty" not in query:
+            self.note("effect", duty="", token=-1, who=0, what=what, vol=query.get("volume"), key=query.get("key"))
+            return None
+        duty, token, who = query["duty"], int(query["token"]), int(query["who"])
+        told = {"duty": duty, "token": token, "who": who, "head": int(query.get("head", -1)), "what": what,
+                "vol": query.get("volume"), "key": query.get("key")}
+        try:
+            if self.fence.passes(duty, token, who):
+                self.writer.put((duty, token, who))
+        except Fenced as bad:
+            self.note("fenced", newest=bad.newest, **told)
+            return bad.newest
+        self.note("effect", **told)
+        return None
+
+    def close(self) -> None:
+        self.writer.close()
--- a/fawnspool/standins/node.py
+++ b/fawnspool/standins/node.py
@@ -38,7 +38,7 @@
 from fawnspool.net.server import ClientLeft, Exchange, Server
 from fawnspool.records.frames import Writer
 from fawnspool.standins.clients import lag_meter
-from fawnspool.standins.moving import Sides
+from fawnspool.standins.moving import Gate, Sides
 from fawnspool.standins.store import Meta, Store
 
 MOVED_MOST = 64 << 20     # bytes of an object that a move takes over: it is held whole on the way
@@ -130,6 +130,7 @@
         self.repeats = {"cell": Repeats(group_root / f"cell-{ident}"), "zone": Repeats(group_root / f"zone-{zone}"),
                         "all": Repeats(group_root / "all")}
         self.sides = Sides(Path(folder), self.store)
+        self.gate = Gate(Path(folder), self.note)
         self.record, self.meter, self.served = record, meter, served
         self.faults = Faults()
         now = time.monotonic()
@@ -165,6 +166,7 @@
         self.server.stop()
         gevent.killall(self.greenlets)
         self.sides.close()
+        self.gate.close()
 
     def note(self, kind: str, **more: Any) -> None:
         if self.record is not None:
@@ -448,7 +450,7 @@
     def _control(self, exchange: Exchange) -> None:
         raw = b"".join(exchange.body())
         place, _, query = exchange.head.target.decode("latin-1").partition("?")
-        if place in ("/-/extent", "/-/extent/data"):
+        if place in ("/-/extent", "/-/extent/data", "/-/fence"):
             return self._extent(exchange, place, query, raw)
         if exchange.head.method == b"POST" and exchange.head.target == b"/-/faults":
             try:
@@ -466,11 +468,17 @@
     # ------------------------------------------------------------------ moves
 
     def _extent(self, exchange: Exchange, place: str, query: str, raw: bytes) -> None:
-        """What movers ask: docs/node-wire.md."""
+        """What movers ask: docs/node-wire.md. What has an effect passes the fence first."""
         try:
             asked = {k: v[0] for k, v in parse_qs(query, strict_parsing=True).items()}
-            volume, key = asked["volume"], asked["key"]
             method = exchange.head.method
+            if method in (b"POST", b"PUT"):
+                step = place[3:] if place != "/-/extent" else msgspec.json.decode(raw, type=Asked).step
+                if (newest := self.gate.passes(asked, step)) is not None:
+                    return exchange.respond(403, [], msgspec.json.encode({"fenced": asked["duty"], "newest": newest}))
+            if place == "/-/fence":
+                return exchange.respond(200, [], b"{}")
+            volume, key = asked["volume"], asked["key"]
             if place == "/-/extent/data":
                 if method == b"GET":
                     return self._give(exchange, volume, key)
--- a/fawnspool/telemetry/metrics.py
+++ b/fawnspool/telemetry/metrics.py
@@ -20,12 +20,41 @@
     into.add_metric(row, buckets, histogram.total)
 
 
+def _duties(d: dict[str, Any]) -> Iterator[Any]:
+    """Labels: names of duties, which the settings bound, and the few causes there are."""
+    family: Any = GaugeMetricFamily("fawnspool_duty_held", "The token under which this head holds a duty.",
+                                    labels=["duty"])
+    for name, row in d["held"].items():
+        family.add_metric([name], row["token"])
+    yield family
+    family = CounterMetricFamily("fawnspool_duty_lost", "Duties given up, by cause.", labels=["why"])
+    for why, count in sorted(d["lost"].items()):
+        family.add_metric([why], count)
+    yield family
+    for name, text, value in (
+            ("fawnspool_duty_taken", "Duties taken.", d["took"]),
+            ("fawnspool_duty_fenced", "Steps refused by a fence: a newer holder had been there.", d["fenced"]),
+            ("fawnspool_duty_unread", "Datagrams about duties that did not read.", d["unread"]),
+            ("fawnspool_duty_strangers", "Datagrams of heads whose duty settings differ.", d["strangers"])):
+        yield CounterMetricFamily(name, text, value=value)
+    if d["voter"] is None:
+        return
+    yield GaugeMetricFamily("fawnspool_duty_votes", "1 while this voter gives votes.",
+                            value=float(d["voter"]["votes"] and not d["voter"]["disk_failed"]))
+    family = GaugeMetricFamily("fawnspool_duty_unheld_seconds", "For how long nobody has held a duty, as this voter "
+                               "sees it.", labels=["duty"])
+    for name, seconds in d["voter"]["unheld_s"].items():
+        family.add_metric([name], seconds)
+    yield family
+
+
 class HeadMetrics(Sums):
     """Sums of one head; `gauges` is asked for the present state when the page is read."""
 
-    def __init__(self, gauges: Callable[[], dict[str, dict[int, float]]], places: Callable[[], dict[str, Any]]) -> None:
+    def __init__(self, gauges: Callable[[], dict[str, dict[int, float]]], places: Callable[[], dict[str, Any]],
+                 duties: Callable[[], dict[str, Any] | None] = lambda: None) -> None:
         super().__init__()
-        self.gauges, self.places = gauges, places
+        self.gauges, self.places, self.duties = gauges, places, duties
         self.registry = CollectorRegistry()
         self.registry.register(self)
 
@@ -77,6 +106,8 @@
                 ("fawnspool_map_asked", "Questions to the map service.", places["asked"]),
                 ("fawnspool_map_not_asked", "Questions that the service's budget did not allow.", places["not_asked"])):
             yield CounterMetricFamily(name, text, value=value)
+        if (duties := self.duties()) is not None:
+            yield from _duties(duties)
         for name, rows in self.gauges().items():
             family = GaugeMetricFamily(f"fawnspool_node_{name}", f"Now, by node: {name}.", labels=["node"])
             for node, value in sorted(rows.items()):
