--- a/fawnspool/cli/extents.py
+++ b/fawnspool/cli/extents.py
@@ -15,6 +15,7 @@
 from fawnspool.head.lists import Told
 from fawnspool.head.mover import Mover
 from fawnspool.head.places import MapClient, PlacesError
+from fawnspool.head.works import DRAIN
 from fawnspool.net.client import Broken, NotReached, Pool, call
 from fawnspool.net.http import BadMessage
 from fawnspool.net.server import address
@@ -33,6 +34,7 @@
         self.volumes = {v.name for v in config.volume}
         self.places = MapClient(address(config.catalogue.address), config.catalogue.call_timeout)
         self.nodes = self._listed(config.list.address, config.list.call_timeout)
+        self.drains = config.duties is not None and any(d.name == "drain" for d in config.duties.duty)
 
     def _listed(self, where: str, timeout: float) -> dict[int, tuple[str, int]]:
         """Addresses by cell, of the nodes that take work."""
@@ -108,3 +110,44 @@
         fail("another move of it has won, or it has gone: see `fawnspool extents show`", BROKEN)
     fail(f"not done within {within:g} s: a node or the map service does not answer; the same again goes on from there",
          UNREACHED)
+
+
+@command.command("drain")
+@click.argument("config_file", metavar="CONFIG", type=click.Path(dir_okay=False))
+@click.argument("cell", type=click.IntRange(0))
+@click.option("--status", "status", is_flag=True, help="How far it is; changes nothing.")
+@click.option("--cancel", is_flag=True, help="Move nothing more out of it; what has moved stays where it is.")
+@click.option("--json", "as_json", is_flag=True, help="For programs.")
+def drain(config_file: str, cell: int, status: bool, cancel: bool, as_json: bool) -> None:
+    """Have all extents of CELL moved to other cells, by the heads that hold the duty `drain`.
+    Exit code 1 with --status: not done."""
+    if status and cancel:
+        fail("give either --status or --cancel")
+    fleet = _Fleet(config_file)
+    if not fleet.drains:
+        fail(f'{config_file}: no duty "drain" in a duties block: no head would do it')
+    name = f"{DRAIN}{cell}"
+    try:
+        if cancel:
+            fleet.places.wish(name, None)
+            return click.echo(f"cell {cell}: nothing more is moved out of it")
+        if not status:
+            if cell not in fleet.nodes:
+                fail(f"cell {cell} has no node in the list; there are {', '.join(map(str, sorted(fleet.nodes)))}")
+            fleet.places.wish(name, "")
+        w, (left, size) = fleet.places.wishes(), fleet.places.count(cell)
+    except PlacesError as bad:
+        fail(str(bad), UNREACHED)
+    holders = [h for h in w.holders if h.duty.startswith("drain/")]
+    said = {"cell": cell, "wanted": name in w.wishes, "left": left, "left_bytes": size,
+            "holders": {h.duty: {"head": h.head, "token": h.token, "note": h.note} for h in holders}}
+    if as_json:
+        print_json(said)
+    else:
+        heads = sorted({h.head for h in holders})
+        click.echo(f"cell {cell}: {'to be drained' if said['wanted'] else 'not to be drained'}, {left} extents left "
+                   f"({size} bytes); holders: {', '.join(f'head {h}' for h in heads) or 'none has shown itself yet'}")
+        if holders:
+            table("Shards", ["duty", "head", "token", "note"], [[h.duty, h.head, h.token, h.note] for h in holders])
+    if status and left:
+        raise SystemExit(BROKEN)
--- a/fawnspool/cli/main.py
+++ b/fawnspool/cli/main.py
@@ -15,7 +15,8 @@
     "rules": "Judge the seven rules from recordings.",
     "replay": "Feed a module's recording to a fresh module and compare.",
     "model": "Play days in simulated time; compare two versions or settings.",
-    "extents": "Show where an extent lies; move it.",
+    "extents": "Show where an extent lies; move it; drain a cell.",
+    "duty": "Who holds which duty; pass one on, pause its work.",
     "status": "Ask a running head what it thinks of each node.",
 }
 
--- a/fawnspool/drill/links.py
+++ b/fawnspool/drill/links.py
@@ -19,7 +19,7 @@
 
 Note = Callable[..., None]
 _ESTABLISHED = 1        # of a connection's states (Linux: tcp_states.h)
-_STEPS = (b"POST /-/", b"PUT /-/")
+STEPS = (b"POST /-/", b"PUT /-/")       # how a mover's step to a node begins
 _LEADING = 23           # bytes before a datagram's body (head/peers.py)
 
 
@@ -81,6 +81,7 @@
 
     def __init__(self, head: int, to: tuple[str, int], note: Note) -> None:
         self.head, self.to, self.note = head, to, note
+        self.only: tuple[bytes, ...] = ()       # where set, a cut holds back what begins so and passes the rest
         self.open = {"out": Event(), "back": Event()}
         for way in self.open.values():
             way.set()
@@ -111,9 +112,9 @@
             self._spawn(self._connect, mine)
 
     def _connect(self, mine: Any) -> None:
-        if not self.open["out"].is_set():
+        if not self.open["out"].is_set() and not self.only:
             self.open["out"].wait()
-            if _ended(mine) and not mine.recv(16, std.MSG_PEEK).startswith(_STEPS):
+            if _ended(mine) and not mine.recv(16, std.MSG_PEEK).startswith(STEPS):
                 return mine.close()     # type: ignore[no-any-return]
         try:
             other = socket.create_connection(self.to, timeout=2.0)
@@ -129,9 +130,9 @@
     def _copy(self, a: Any, b: Any, way: Event) -> None:
         try:
             while data := a.recv(65536):
-                if not way.is_set():
+                if not way.is_set() and (not self.only or data.startswith(self.only)):
                     way.wait()
-                    if way is self.open["out"] and _ended(a) and not data.startswith(_STEPS):
+                    if way is self.open["out"] and _ended(a) and not data.startswith(STEPS):
                         break
                 b.sendall(data)
         except OSError:
--- a/fawnspool/duties/drain.py
+++ b/fawnspool/duties/drain.py
@@ -53,7 +53,7 @@
         wants = (1.0, min(float(size), depths[1]))
         short = max((w - v) / r for w, v, r in zip(wants, self.level, rates, strict=True))
         if short > 0:
-            return short
+            return max(short, 0.001)        # rounding must not make it ask for ever
         self.level = [self.level[0] - 1.0, self.level[1] - size]
         return 0.0
 
--- a/fawnspool/duties/holder.py
+++ b/fawnspool/duties/holder.py
@@ -195,7 +195,7 @@
             self.events.append(Lost(duty, h.claim.token, why))
         tokens = [h.claim.token] + ([h.next.token] if h.next is not None else [])
         self.freed += [(now + self.terms.lease / 20, duty, t) for t in tokens]      # said twice, as one may be lost
-        return [Row(duty, t) for t in tokens]
+        return [Row(duty, t, int(h.holding)) for t in tokens]
 
     def _free(self, now: float, rows: list[Row]) -> list[Out]:
         return [Say(v, self._message(now, Kind.FREE, batch)) for batch in batches(rows) for v in self.terms.voters]
--- a/fawnspool/duties/messages.py
+++ b/fawnspool/duties/messages.py
@@ -1,20 +1,20 @@
 """What heads say to each other about duties, as bodies of their datagrams (at most 256 bytes).
 
-    body = u8 0xD0, u8 kind, u32 mark of the terms, u64 who (a number drawn at each start of a head), u32 serial, u16
-    a, u16 b,
+    body = u8 0xD0, u8 kind, u32 mark of the terms, u64 who (drawn at each start of a head), u32 serial, u16 a, u16 b,
            then rows of u16 duty, u64 token, u8 verdict, u16 wait (milliseconds)
 
-    ASK     head to voter     votes wanted: duty, token, verdict: 1 if it holds it already. a: duties held, b:
-    NOT_NOW, TAKES, ENDS TOLD    voter to head     to the ASK of that serial: verdict, the token promised, for how
-    long others wait. a: heads that are
-                              there and take duties
-    FREE    head to voter     gives votes back
-    HERE    head to voter     is there; a and b as in ASK
+    ASK     head to voter     votes wanted: duty, token, verdict: 1 if it holds it already. a: duties held,
+                              b: NOT_NOW, TAKES or ENDS
+    TOLD    voter to head     to the ASK of that serial: verdict, the token promised, for how long others wait.
+                              a: heads that are there and take duties
+    FREE    head to voter     gives votes back: duty, token, verdict: 1 if it held it. a, b as in ASK
+    HERE    head to voter     is there; a, b as in ASK
     CALL    voter to head     nobody holds these: ask for them. token: the highest that the voter has promised
     FLOOR   voter to voter    how high have tokens come? (asked by one that lost its memory)
     KNOWN   voter to voter    to the FLOOR of that serial. a: 1 if it has its memory; one row, its token the highest
 
-The leading byte tells them from the module's own (1, 2). What does not read is counted and harms nothing.
+TOLD and KNOWN bear the asker's `who`: no other life of it may take them for its own. The leading byte tells all of them
+from the module's own bodies (1, 2). What does not read is counted and harms nothing.
 """
 from __future__ import annotations
 
--- a/fawnspool/duties/voter.py
+++ b/fawnspool/duties/voter.py
@@ -57,6 +57,7 @@
     heard: float
     load: int = 0
     takes: bool = False
+    who: int = 0
     ends: bool = False
     missed: int = 0
     rest: float = float("-inf")
@@ -140,7 +141,10 @@
         if head is None:
             head = self.heads[sender] = _Head(now)
             self.order.append(sender)
-        head.heard, head.load, head.takes, head.ends = now, m.a, m.b == TAKES, m.b == ENDS
+        if m.who != head.who:
+            head.who, head.ends = m.who, False
+        head.ends |= m.b == ENDS        # what it said before that may come after it
+        head.heard, head.load, head.takes = now, m.a, m.b == TAKES and not head.ends
 
     def _asked(self, now: float, sender: int, m: Message) -> list[Out]:
         rows, keep = [], list[tuple[int, int, int]]()
@@ -165,7 +169,7 @@
                     keep.append((r.duty, seat.token, seat.who))
             else:
                 self.refusals += 1
-                if r.verdict:                   # it holds by the votes of others: nobody is to be called
+                if r.verdict and r.token < seat.token:      # it holds by others' votes: nobody is to be called
                     self.elsewhere[r.duty] = (now + self.terms.lease, m.who)
             rows.append(Row(r.duty, max(seat.token, self.floor), verdict, max(0.0, seat.until - now)
                             if not seat.freed else 0.0))
@@ -184,7 +188,7 @@
                 self.seats[r.duty] = new
                 # A holder's is called out at once; where a candidate gave up, as others hold it or came too, that would
                 # only bring the next one.
-                held = self.holds.get(r.duty) == m.who
+                held = bool(r.verdict) or self.holds.get(r.duty) == m.who
                 self._look_at(r.duty, now + self._turn(r.duty, now) + (0.0 if held else self.terms.renew))
         return []
 
--- a/fawnspool/model/duties.py
+++ b/fawnspool/model/duties.py
@@ -86,7 +86,7 @@
         self._wake(host, host.life)
 
     def kill(self, host: Host, why: str = "killed") -> None:
-        self._leaves(host, why)
+        self.loses(host, why)
         host.up = False
 
     def wipe(self, host: Host) -> None:
@@ -94,7 +94,7 @@
         host.disk, host.floor = {}, -1
 
     def stop(self, host: Host, why: str = "stopped") -> None:
-        self._leaves(host, why)
+        self.loses(host, why)
         host.stopped = True
 
     def go_on(self, host: Host) -> None:
@@ -111,7 +111,8 @@
         self._happened(host)
         host.up = False
 
-    def _leaves(self, host: Host, why: str) -> None:
+    def loses(self, host: Host, why: str) -> None:
+        """From now on it counts as not holding what it held, for `gaps`."""
         if host.up and not host.stopped:
             for duty, (owner, life, _) in self.owner.items():
                 if owner is host and life == host.life and duty not in self.lost:
--- a/fawnspool/rules/duties.py
+++ b/fawnspool/rules/duties.py
@@ -47,6 +47,7 @@
     f.looked_at = len(story.effects) + len(story.fenced)
     _late(story, first, lease, broke)
     _intervals(story.duties, broke)
+    _rising(story, broke)
     _moves(story, out, broke)
     _hand_overs(story, first, lease, out)
     for row in story.drains:
@@ -93,6 +94,21 @@
                   f"{row['t'] - min(newer):.3f} s after a newer holder had")
 
 
+def _rising(story: Story, broke: Broke) -> None:
+    """A token that voters gave although it, or a higher one, had been borne by another life before: they forgot."""
+    used: dict[str, list[Row]] = defaultdict(list)
+    for row in story.effects:
+        if row["duty"]:
+            used[row["duty"]].append(row)
+    for row in story.duties:
+        if row["what"] == "took":
+            higher = [e for e in used[row["duty"]] if e["t"] < row["t"] and e["who"] != row["who"]
+                      and e["token"] >= row["token"]]
+            if higher:
+                broke(row["t"], f"{row['duty']}: head {row['head']} was given token {row['token']}, head "
+                      f"{higher[0]['head']} had borne {higher[0]['token']}")
+
+
 def _intervals(rows: Iterable[Row], broke: Broke) -> None:
     """Two that say they hold one duty."""
     spans: dict[str, list[list[float]]] = defaultdict(list)
