--- /dev/null
+++ b/benchmarks/duties_days.py
@@ -0,0 +1,105 @@
+"""Duties on real processes: the days under faults over seeds, what they cost, and what lease or fence alone would give.
+
+    python -m benchmarks.duties_days faults [SEEDS] [AT ONCE]     all duty days: breaches, hand-overs by cause
+    python -m benchmarks.duties_days worth [SEEDS]                the same day with duties off, idle, draining
+    python -m benchmarks.duties_days baselines                    a lease without a fence, a fence without a lease
+"""
+from __future__ import annotations
+
+import json
+import subprocess
+import sys
+import tempfile
+from collections import defaultdict
+from concurrent.futures import ThreadPoolExecutor
+from dataclasses import replace
+from pathlib import Path
+from typing import Any
+
+from fawnspool.config.render import render
+from fawnspool.config.schema import load
+from fawnspool.days.day import Day, check
+
+DAYS = ("duty-kill", "duty-term", "duty-stall", "duty-cut", "duty-one-way", "duty-voters", "duty-overlap")
+
+
+def played(day: str, seed: int) -> dict[str, Any]:
+    done = subprocess.run([sys.executable, "-m", "fawnspool.cli", "drill", "run", day, "--seed", str(seed), "--no-plain",
+                           "--json", "--quiet"], capture_output=True, text=True, check=False)
+    if not done.stdout:
+        raise SystemExit(f"{day}, seed {seed}: {done.stderr[-500:]}")
+    said: dict[str, Any] = json.loads(done.stdout)
+    return said
+
+
+def faults(seeds: int, at_once: int) -> None:
+    runs = [(day, seed) for day in DAYS for seed in range(1, seeds + 1)]
+    with ThreadPoolExecutor(at_once) as pool:
+        rows = list(pool.map(lambda run: played(*run), runs))
+    print("day: runs, kept, moved, left, fenced, hand-overs, without cause, worth; by cause: count, p50, p99, worst s")
+    for day in DAYS:
+        mine = [row for (name, _), row in zip(runs, rows, strict=True) if name == day]
+        gaps: dict[str, list[float]] = defaultdict(list)
+        for row in mine:
+            for why, found in row["duties"]["all_gaps"].items():
+                gaps[why] += found
+            for rule in row["rules"]:
+                for text in rule["first"]:
+                    print(f"  {day}, seed {row['seed']}: BROKEN {rule['rule']}: {text}")
+        total = {k: sum(row["duties"][k] for row in mine) for k in ("moved", "left", "fenced", "handed_over",
+                                                                    "without_cause")}
+        worth = [row["whole"]["share"] for row in mine]
+        print(f"{day}: {len(mine)}, {sum(row['kept'] for row in mine)}, {', '.join(map(str, total.values()))}, "
+              f"{min(worth):.3f} to {max(worth):.3f}", flush=True)
+        for why, found in sorted(gaps.items()):
+            found.sort()
+            print(f"    {why}: {len(found)}, {found[len(found) // 2]:.3f}, {found[int(len(found) * 0.99)]:.3f}, "
+                  f"{found[-1]:.3f}")
+
+
+def worth(seeds: int) -> None:
+    """The same day and seeds; the trouble `drain` is taken out, then the duties."""
+    day = load("days/base/duties.hcl", Day, check)
+    day = replace(day, day=replace(day.day, title="Duties: worth"))
+    arms = {"off": replace(day, duties=None, trouble=()), "idle": replace(day, trouble=()), "draining": day}
+    with tempfile.TemporaryDirectory() as folder:
+        for name, arm in arms.items():
+            (Path(folder) / f"{name}.hcl").write_text(render(arm))
+        rows = {name: [played(str(Path(folder) / f"{name}.hcl"), s) for s in range(1, seeds + 1)] for name in arms}
+    print("arm: worth by seed, mean")
+    for name, found in rows.items():
+        shares = [row["whole"]["share"] for row in found]
+        print(f"{name}: {', '.join(f'{x:.4f}' for x in shares)}; {sum(shares) / len(shares):.4f}")
+
+
+def baselines() -> None:
+    from fawnspool.drill.play import Play
+    for name, head, node in (("lease and fence", "", ""), ("a lease without a fence", "", "forgets_fence"),
+                             ("a fence without a lease", "ignores_end", ""), ("neither", "ignores_end", "forgets_fence")):
+        for day_name in ("duty-stall", "duty-cut"):
+            path = Path(f"days/{day_name}.hcl").resolve()
+            with tempfile.TemporaryDirectory(dir="/dev/shm") as folder:
+                out = Play(load(path, Day, check), path, Path(folder), 1,
+                           head_command=(head, "serve") if head else ("serve",),
+                           head_module="tests.e2e.doctored" if head else "fawnspool.cli",
+                           node_command=(node,) if node else (),
+                           node_module="tests.e2e.doctored" if node else "fawnspool.cli").run()
+            d = out.duties
+            assert d is not None
+            print(f"{name}, {day_name}: {len(d.finding.breaches)} breaches, {d.fenced} steps refused, {d.moved} moved, "
+                  f"{d.left} left", flush=True)
+
+
+def main() -> None:
+    what = sys.argv[1] if len(sys.argv) > 1 else "faults"
+    number = int(sys.argv[2]) if len(sys.argv) > 2 else 5
+    if what == "faults":
+        faults(number, int(sys.argv[3]) if len(sys.argv) > 3 else 1)
+    elif what == "worth":
+        worth(number)
+    else:
+        baselines()
+
+
+if __name__ == "__main__":
+    main()
--- a/fawnspool/drill/fleet.py
+++ b/fawnspool/drill/fleet.py
@@ -43,13 +43,13 @@
 class Process:
     """One child process that listens on a port."""
 
-    def __init__(self, name: str, arguments: list[str], port: int, log: Path) -> None:
-        self.name, self.arguments, self.port, self.log = name, arguments, port, log
+    def __init__(self, name: str, arguments: list[str], port: int, log: Path, module: str = "fawnspool.cli") -> None:
+        self.name, self.arguments, self.port, self.log, self.module = name, arguments, port, log, module
         self.child: Any = None
 
     def start(self) -> None:
         with self.log.open("ab") as log:
-            self.child = Popen([sys.executable, "-m", "fawnspool.cli", *self.arguments], stdout=log, stderr=log,
+            self.child = Popen([sys.executable, "-m", self.module, *self.arguments], stdout=log, stderr=log,
                                env=os.environ | {"PYTHONUNBUFFERED": "1"})
 
     def wait_up(self, seconds: float = 30.0) -> None:
--- a/fawnspool/drill/play.py
+++ b/fawnspool/drill/play.py
@@ -71,9 +71,13 @@
     """Plays `day` once. `folder` gets configurations, logs, data and records."""
 
     def __init__(self, day: Day, day_file: Path, folder: Path, seed: int, policy: str = "module",
-                 say: Callable[[str], None] = lambda text: None, head_command: tuple[str, ...] = ("serve",)) -> None:
+                 say: Callable[[str], None] = lambda text: None, head_command: tuple[str, ...] = ("serve",),
+                 head_module: str = "fawnspool.cli", node_command: tuple[str, ...] = (),
+                 node_module: str = "fawnspool.cli") -> None:
+        """head_module, node_module: what processes run; other than the program itself in tests with doctored ones."""
         self.day, self.day_file, self.folder, self.seed, self.policy = day, day_file, folder, seed, policy
-        self.say, self.head_command = say, head_command
+        self.say, self.head_command, self.head_module = say, head_command, head_module
+        self.node_command, self.node_module = node_command, node_module
         folder.mkdir(parents=True, exist_ok=True)
         for old in folder.glob("*.rec"):
             old.unlink()
@@ -152,7 +156,7 @@
             path = self.folder / f"head-{k}.hcl"
             path.write_text(render(config))
             self.heads.append(Process(f"head-{k}", [*self.head_command, str(path)], head_ports[k],
-                                      self.folder / f"head-{k}.log"))
+                                      self.folder / f"head-{k}.log", self.head_module))
         for head in self.heads:
             head.start()
         for k, head in enumerate(self.heads):
@@ -200,7 +204,7 @@
     def _node(self, cell: int, number: int, port: int, zone: str, cold: bool) -> Process:
         f, n = self.day.fleet, self.day.nodes
         arguments = [
-            "standin", "node", "--ident", str(number), "--listen", f"127.0.0.1:{port}", "--data",
+            *self.node_command, "standin", "node", "--ident", str(number), "--listen", f"127.0.0.1:{port}", "--data",
             str(self.folder / f"cell-{cell}"), "--cores", str(f.cores), "--unit-time",
             str(f.unit_time * (2 if cell in self.slow else 1)), "--room", str(f.room), "--cold" if cold else "--warm",
             "--cold-from", str(f.cold_from), "--warm-after", str(f.warm_after), "--fall", str(n.cold_fall),
@@ -210,7 +214,7 @@
         if self.meter is not None:
             arguments += ["--meter", f"127.0.0.1:{self.meter.address[1]}", "--meter-every",
                           str(self.day.service.meter / 4)]
-        return Process(f"node-{number}", arguments, port, self.folder / f"node-{number}.log")
+        return Process(f"node-{number}", arguments, port, self.folder / f"node-{number}.log", self.node_module)
 
     def _entry(self, cell: _Cell, phase: str, started: float) -> Entry:
         return Entry(cell.node, f"127.0.0.1:{cell.process.port}", cell.zone, cell.cell, phase,
--- /dev/null
+++ b/tests/e2e/duties.hcl
@@ -0,0 +1,22 @@
+# A short day for tests: five heads, three of them vote, two of six cells are drained.
+base = "../../days/base/duties.hcl"
+
+day {
+  title  = "Duties in tests"
+  length = "9s"
+}
+
+load {
+  rate    = 30
+  objects = 40
+}
+
+duties {
+  voters = [0, 1, 2]
+  lease  = "800ms"
+
+  duty "drain" {
+    shards = 6
+    moves  = 40
+  }
+}
