Find holders that heed no lease also where every fence refused them

A refused step of a head that neither stood still nor was held back, later than a lease's margin and the noise after the newer holder, is a breach now (rules/duties.py, _late).

--- a/fawnspool/rules/duties.py
+++ b/fawnspool/rules/duties.py
@@ -15,7 +15,7 @@
 from fawnspool.rules.story import Row, Story
 
 Broke = Callable[[float, str], None]
-FLIGHT = 0.06           # seconds that a step may be on its way: two processes on a busy machine (judge.MOST)
+FLIGHT = 0.06           # seconds that a step may be on its way (judge.MOST), beside the margin of a lease
 
 
 @dataclass
@@ -82,15 +82,16 @@
 
 
 def _late(story: Story, first: dict[str, dict[int, float]], lease: float, broke: Broke) -> None:
-    """A step under an older token at a place that the newer holder has not touched: the fence can't know. It may be
-    late only where its head was stopped, or its calls were held back, since its lease."""
-    for row in story.effects:
+    """A step under an older token, refused, or taken by a place that the newer holder has not touched. It may be so late
+    only where its head was stopped, or its calls were held back, since its lease: else its head heeds no lease."""
+    for row in (*story.effects, *story.fenced):
         newer = [t for token, t in first.get(row["duty"], {}).items() if token > row["token"]]
-        if not newer or row["t"] <= min(newer) + FLIGHT:
+        if not newer or row["t"] <= min(newer) + FLIGHT + lease / 10:
             continue
         if not any(x["head"] == row["head"] and x["what"] in ("stopped", "held back") and
                    x["t"] <= row["t"] and x["until"] >= min(newer) - 2 * lease for x in story.faults):
-            broke(row["t"], f"{row['duty']}: head {row['head']} acted at {row['node']} under token {row['token']}, "
+            did = "acted" if row["k"] == "effect" else "tried to act"
+            broke(row["t"], f"{row['duty']}: head {row['head']} {did} at {row['node']}, token {row['token']}, "
                   f"{row['t'] - min(newer):.3f} s after a newer holder had")
 
 
