--- a/benchmarks/duties_days.py
+++ b/benchmarks/duties_days.py
@@ -59,8 +59,8 @@
 
 def worth(seeds: int) -> None:
     """The same day and seeds; the trouble `drain` is taken out, then the duties."""
-    day = load("days/base/duties.hcl", Day, check)
-    day = replace(day, day=replace(day.day, title="Duties: worth"))
+    day = load("days/duty-kill.hcl", Day, check)
+    day = replace(day, trouble=tuple(x for x in day.trouble if x.kind == "drain"))
     arms = {"off": replace(day, duties=None, trouble=()), "idle": replace(day, trouble=()), "draining": day}
     with tempfile.TemporaryDirectory() as folder:
         for name, arm in arms.items():
