Read what came before a deadline though the process stood still past it

Ruled out: the drill's note of a stop (no kill fell into it), a late line of the list (told at 9.705), the node's record.

At fault: net/wire.py, Wire._readable. A wait's deadline and the bytes that came before it are both due when a process goes on, and libev rings timers first, so every read that was waiting was called late: watches were dropped with news in them, answers of nodes counted as time-outs. Now what lies there is read; silence is late as before. tests/test_net.py stops a loop past a deadline with bytes in the socket, and fails without the change.

--- a/fawnspool/drill/fleet.py
+++ b/fawnspool/drill/fleet.py
@@ -9,6 +9,7 @@
 import sys
 import time
 from pathlib import Path
+from random import SystemRandom
 from typing import Any
 
 import gevent
@@ -22,21 +23,29 @@
     """The drill itself could not be played (not: a rule broke)."""
 
 
+PORTS = (10_000, 32_000)    # below those that the kernel gives to connections and to `bind` of port 0
+
+
 def free_ports(count: int) -> list[int]:
-    """Ports that nobody listens on now, held together so that no two are the same."""
+    """Ports that nobody listens on now, held together so that no two are the same. Processes bind them seconds later,
+    and again after a kill, so they are none that another drill's sockets may be given meanwhile."""
     socks: list[socket.socket] = []
     ports: list[int] = []
-    while len(ports) < count:
+    for port in SystemRandom().sample(range(*PORTS), 50 * count):
         stream, packets = socket.socket(), socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         socks += [stream, packets]
-        stream.bind(("127.0.0.1", 0))
         try:
-            packets.bind(stream.getsockname())      # free for datagrams too: heads' peers use them
+            stream.bind(("127.0.0.1", port))
+            packets.bind(("127.0.0.1", port))       # free for datagrams too: heads' peers use them
         except OSError:
             continue
-        ports.append(stream.getsockname()[1])
+        ports.append(port)
+        if len(ports) == count:
+            break
     for s in socks:
         s.close()
+    if len(ports) < count:
+        raise DrillError(f"no {count} free ports from {PORTS[0]} to {PORTS[1]}")
     return ports
 
 
--- a/fawnspool/net/wire.py
+++ b/fawnspool/net/wire.py
@@ -227,7 +227,13 @@
     def _readable(self, deadline: float) -> None:
         if self.reader is None:
             self.reader = _Wait(self.sock.fileno(), 1)
-        self.reader.wait(deadline)
+        try:
+            self.reader.wait(deadline)
+        except TimeoutError:
+            # A process that stood still finds the deadline over and what came before it at one stroke, and the loop
+            # rings timers first. What lies there is not late: it is read.
+            if self.closed or not self.at_end():
+                raise
         if self.closed:
             raise OSError(errno.EBADF, "closed here")
 
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -267,3 +267,23 @@
     gevent.sleep(0.05)
     assert len(os.listdir("/proc/self/fd")) <= before + 3 and not server.open
     server.stop()
+
+
+def test_what_came_before_a_deadline_is_read_though_the_process_stood_still_past_it() -> None:
+    """Else a head that is stopped and resumed takes a watch that has told it something for a silent one."""
+    ours, theirs = socket.socketpair()
+    wire = Wire(ours)
+
+    def stand_still() -> None:
+        theirs.send(b"told")
+        time.sleep(0.06)        # nothing of this thread's loop runs: what a SIGSTOP does
+
+    for wait_first in (True, False):
+        gevent.spawn(stand_still)
+        assert wire.recv(10, time.monotonic() + 0.02, wait_first) == b"told"
+    gevent.spawn(stand_still)
+    assert wire.recv_stamped(10, time.monotonic() + 0.02)[0] == b"told"
+    with pytest.raises(TimeoutError):       # and silence stays silence
+        wire.recv(10, time.monotonic() + 0.02, True)
+    wire.close()
+    theirs.close()
