Share who serves a volume and what is thought of nodes; count no late units of a limit

Where the module's lending stops (probe in simulated time, counts of refusals with units left at others): lenders that once had nothing are forgotten, and with none left all heads are asked once a second, longer than the aim. Now heads tell two keepers of a volume that they serve it, ask them when their flow passes their even part, and the module hears of them (`Takers`).

Judgements: evidence with whose and how old, spread by drawn fan-out, shunned on hearsay only by a quorum, after own answers, within a share of nodes; the module hears `Hearsay`. Counts merge in any order.

--- a/benchmarks/duties_days.py
+++ b/benchmarks/duties_days.py
@@ -1,6 +1,6 @@
 """Duties on real processes: the days under faults over seeds, what they cost, and what lease or fence alone would give.
 
-    python -m benchmarks.duties_days faults [SEEDS] [AT ONCE]     all duty days: breaches, hand-overs by cause
+    python -m benchmarks.duties_days faults [SEEDS] [AT ONCE] [HEADS]     all duty days: breaches, hand-overs by cause
     python -m benchmarks.duties_days worth [SEEDS]                the same day with duties off, idle, draining
     python -m benchmarks.duties_days baselines                    a lease without a fence, a fence without a lease
 """
@@ -32,10 +32,19 @@
     return said
 
 
-def faults(seeds: int, at_once: int) -> None:
+def faults(seeds: int, at_once: int, heads: int) -> None:
     runs = [(day, seed) for day in DAYS for seed in range(1, seeds + 1)]
-    with ThreadPoolExecutor(at_once) as pool:
-        rows = list(pool.map(lambda run: played(*run), runs))
+    with tempfile.TemporaryDirectory() as folder:
+        for name in DAYS:
+            day = load(f"days/{name}.hcl", Day, check)
+            assert day.duties is not None
+            if heads != day.day.heads:      # from 12 heads on five of them vote
+                voters = tuple(range(5 if heads >= 12 else 3))
+                day = replace(day, day=replace(day.day, heads=heads), duties=replace(day.duties, voters=voters))
+            (Path(folder) / f"{name}.hcl").write_text(render(day))
+        with ThreadPoolExecutor(at_once) as pool:
+            rows = list(pool.map(lambda run: played(str(Path(folder) / f"{run[0]}.hcl"), run[1]), runs))
+    print(f"{heads} heads")
     print("day: runs, kept, moved, left, fenced, hand-overs, without cause, worth; by cause: count, p50, p99, worst s")
     for day in DAYS:
         mine = [row for (name, _), row in zip(runs, rows, strict=True) if name == day]
@@ -97,7 +106,7 @@
     what = sys.argv[1] if len(sys.argv) > 1 else "faults"
     number = int(sys.argv[2]) if len(sys.argv) > 2 else 5
     if what == "faults":
-        faults(number, int(sys.argv[3]) if len(sys.argv) > 3 else 1)
+        faults(number, int(sys.argv[3]) if len(sys.argv) > 3 else 1, int(sys.argv[4]) if len(sys.argv) > 4 else 5)
     elif what == "worth":
         worth(number)
     else:
--- a/fawnspool/cli/drill.py
+++ b/fawnspool/cli/drill.py
@@ -126,6 +126,10 @@
                    f"refused by fences; {d['moved']} extents moved, {d['left']} left in drained cells")
         table("From a fault until the next holder showed its token", ["cause", "hand-overs", "p50 s", "worst s"],
               [list(g.values()) for g in d["gaps"]])
+    if said["shared"]:
+        s = said["shared"]
+        click.echo(f"limits: {s['refused']} of {s['asked']} tries refused, {s['within']} of them within their volume's "
+                   f"limit; shared by {s['datagrams_s']} datagrams, {s['bytes_s']} bytes a second and head")
     worst = said["worst_window"]
     click.echo(f"worth earned over due: {whole['share']:.3f}; worst 5 s: {worst['share']:.3f} from {worst['from_s']} s")
     if said["plain"]:
--- a/fawnspool/cli/main.py
+++ b/fawnspool/cli/main.py
@@ -17,6 +17,7 @@
     "model": "Play days in simulated time; compare two versions or settings.",
     "extents": "Show where an extent lies; move it; drain a cell.",
     "duty": "Who holds which duty; pass one on, pause its work.",
+    "shared": "What a head knows of what the fleet shares: use of limits, evidence about nodes.",
     "status": "Ask a running head what it thinks of each node.",
 }
 
--- a/fawnspool/cli/status.py
+++ b/fawnspool/cli/status.py
@@ -2,6 +2,7 @@
 from __future__ import annotations
 
 import time
+from typing import Any
 
 import click
 import msgspec
@@ -12,21 +13,27 @@
 from fawnspool.net.server import address
 
 
-@click.command("status", epilog=EXIT_CODES)
-@click.argument("where", metavar="ADDRESS")
-@click.option("--json", "as_json", is_flag=True, help="For programs.")
-def command(where: str, as_json: bool) -> None:
-    """Ask the head at ADDRESS (host:port) what it thinks of each node."""
+def status_of(where: str) -> dict[str, Any]:
+    """What the head at `where` says of itself. Ends the command where it can't be reached."""
     try:
         pool = Pool(address(where), 1, 2.0, 1.0)
         status, body = call(pool, b"GET", b"/-/status", time.monotonic() + 2.0)
-        said = msgspec.json.decode(body, type=dict)
+        said: dict[str, Any] = msgspec.json.decode(body, type=dict)
     except ValueError:
         fail(f"expected an address such as 127.0.0.1:8480, found {where!r}")
     except (NotReached, Broken, BadMessage, TimeoutError) as bad:
         fail(f"{where}: can't be reached: {bad or type(bad).__name__}", UNREACHED)
     if status.code != 200:
         fail(f"{where}: answered {status.code}", UNREACHED)
+    return said
+
+
+@click.command("status", epilog=EXIT_CODES)
+@click.argument("where", metavar="ADDRESS")
+@click.option("--json", "as_json", is_flag=True, help="For programs.")
+def command(where: str, as_json: bool) -> None:
+    """Ask the head at ADDRESS (host:port) what it thinks of each node."""
+    said = status_of(where)
     if as_json:
         return print_json(said)
     listed, module = said["list"], said["module"]
@@ -47,6 +54,10 @@
             rest = ", ".join(f"{name} for {s} s" for name, s in v["unheld_s"].items()) or "none"
             click.echo(f"voter: {'gives votes' if v['votes'] else 'WITHOUT MEMORY, learns'}"
                        f"{', VOTES CAN NOT BE KEPT' if v['disk_failed'] else ''}; held by nobody: {rest}")
+    if (s := said.get("shared")) is not None:
+        shunned = ", ".join(map(str, s["shunned"])) or "none"
+        click.echo(f"shared: {'HEARS NOBODY, ' if s['alone'] else ''}{s['heads']} heads are there, "
+                   f"{s['volumes_in_all']} volumes, nodes shunned on hearsay: {shunned}")
     names = ["node", "address", "zone", "cell", "listed", "state", "bound", "held", "out", "response_ms", "wait_ms",
              "bad_signs", "heard_s"]
     table("Nodes", names, [[row.get(n, "-") for n in names] for row in said["nodes"]])
--- a/fawnspool/config/head.py
+++ b/fawnspool/config/head.py
@@ -176,6 +176,17 @@
     duty: tuple[DutyBlock, ...] = block(DutyBlock, many=True)
 
 
+@dataclass(frozen=True)
+class SharedBlock:
+    """What heads tell each other of volumes and nodes, the same at all heads. every: between two looks at what there
+    is to say; fades: after so long what was heard of a node counts no more; shun: part of the nodes that a head may
+    shun on others' evidence, at most."""
+
+    every: float = spec(0.25, kind="time", low=0.02)
+    fades: float = spec(4.0, kind="time", low=0.5)
+    shun: float = spec(0.25, low=0, high=0.5)
+
+
 @dataclass(frozen=True)
 class EmbeddedBlock:
     """Stand-in nodes inside the head's own process, for a first run and for trying things out."""
@@ -220,6 +231,7 @@
     service: ServiceBlock = block(ServiceBlock)
     embedded: EmbeddedBlock | None = block(EmbeddedBlock, optional=True)
     duties: DutiesBlock | None = block(DutiesBlock, optional=True)
+    shared: SharedBlock | None = block(SharedBlock, optional=True)
 
 
 KINDS_OF_DUTY = ("drain", "compare")
@@ -242,6 +254,12 @@
         reader.wrong(d, "duties.most", f"{heads} heads hold {d.most * heads} duties at most, there are {shards}")
 
 
+def check_shared(s: SharedBlock, reader: Reader) -> None:
+    if s.fades < 4 * s.every:
+        reader.wrong(s, "shared.fades", f"{s.fades:g} s is under four looks of {s.every:g} s: evidence would fade on "
+                     "its way to the others")
+
+
 def check(config: HeadConfig, reader: Reader) -> None:
     """What only the document as a whole shows: names that must be known, figures that must fit."""
     plans = {p.name: p for p in config.plan}
@@ -280,6 +298,10 @@
             reader.wrong(config.duties, "duties.voters", f"head {missing[0]} votes and has no peer block here")
         if not config.head.peer_listen:
             reader.wrong(config.head, "head.peer_listen", "is missing: heads speak about duties by datagrams")
+    if config.shared is not None:
+        check_shared(config.shared, reader)
+        if not config.head.peer_listen or not config.peer:
+            reader.wrong(config.shared, "shared", "heads lend by datagrams: set head.peer_listen and peer blocks")
     if config.embedded is None:
         for name, value in (("list.address", config.list.address),
                             ("catalogue.address", config.catalogue.address)):
--- a/fawnspool/control.py
+++ b/fawnspool/control.py
@@ -13,9 +13,9 @@
 from typing import Any
 
 from fawnspool.interface import (
-    Action, Cancel, ClientGone, Effect, Event, Fail, FetchList, Group, ListEntry, ListKind, Log,
+    Action, Cancel, ClientGone, Effect, Event, Fail, FetchList, Group, Hearsay, ListEntry, ListKind, Log,
     NodeList, Outcome, PeerMessage, Phase, Plan, Refuse, Request, RequestClass, Result, Send, SetTimer,
-    Settings, Tell, Timer, Watch)
+    Settings, Takers, Tell, Timer, Watch)
 
 RECENT = 16              # responses in a volume's mean (the paper's N): long enough to smooth one pause
 RUN_LIMIT = 12           # requests of one extent in a row: longer runs would shut out other volumes
@@ -27,14 +27,15 @@
 FRESH_S = 1.0            # an answer this old counts half for its node, seconds: surges come and go in a few
 CROWD = 0.25             # part of the least aim that may pass in waiting at a node, beyond a reserve
 ASK_ALL_S = 1.0          # pause between calls to every head for units of one limit, seconds
+ON_TIME = 0.95           # part of the time for which a lender counts units as on their way: for clocks' rates
 TICKS_PER_AIM = 8        # looks at all queues within the least aim: a late look costs an eighth of it
 TRIAL_MOST_S = 1.0       # longest pause between trials of a failed node, seconds: its return is found within
 SIGNS = 3                # resets or failed connects in a row, no answer between, before suspicion
 SILENT = 3.0             # mean responses (at least half aims) without any answer, before suspicion
 IDLE_S = 30.0            # a volume unheard for this long loses its place in the tables, seconds
 VOLUMES_MOST = 4096      # volumes remembered, whatever comes
-_PEER = struct.Struct(">BQf")    # what, volume, units
-_WANT, _LEND = 1, 2
+_PEER = struct.Struct(">BQfI")   # what, volume, units, when asked for (asker's clock, milliseconds)
+_WANT, _LEND, _NONE = 1, 2, (0, 0, 0.0, 0)
 
 
 @dataclass(slots=True, eq=False)
@@ -82,6 +83,7 @@
     asked: float = 0.0          # when peers were last asked for units of its limit
     queued: float = 0.0         # units held here that have drawn nothing of a limit yet
     lenders: set[int] = field(default_factory=set)
+    lent: deque[tuple[float, float]] = field(default_factory=deque)     # when, units: may be on their way yet
     part: float = 0.0           # share of the volume's use that came through this head
     use: float = 0.0            # the volume's whole use as the meter last told, as a share of its rate
 
@@ -150,7 +152,8 @@
         self.ticking = self.unsure = False      # a timer is set; only a saved list so far
         self.handlers: dict[type, Callable[[Any], None]] = {
             NodeList: self._on_list, Request: self._on_request, Outcome: self._on_outcome,
-            ClientGone: self._on_gone, Timer: self._on_look, PeerMessage: self._on_peer}
+            ClientGone: self._on_gone, Timer: self._on_look, PeerMessage: self._on_peer,
+            Takers: self._on_takers, Hearsay: self._on_hearsay}
 
     def handle(self, now: float, event: Event) -> list[Action]:
         self.now, self.acts, self.since = now, [], now if self.since < 0 else self.since
@@ -265,7 +268,10 @@
 
     def _fill(self, volume: _Volume) -> None:
         plan, passed = volume.plan, self.now - volume.filled
-        volume.level = min(plan.limit_depth, volume.level * volume.heads + passed * plan.limit) / volume.heads
+        while volume.lent and volume.lent[0][0] <= self.now - self.least_aim:
+            volume.lent.popleft()
+        depth = plan.limit_depth - sum(units for _, units in volume.lent) * volume.heads
+        volume.level = min(depth, volume.level * volume.heads + passed * plan.limit) / volume.heads
         fill = max(volume.part, 1 / volume.heads) * plan.reserve
         volume.reserve = min(fill + self.s.largest_units / volume.heads, volume.reserve + passed * fill)
         volume.filled = self.now
@@ -278,30 +284,38 @@
         due = volume.asked + (self.look / 2 if volume.lenders else ASK_ALL_S)
         if self.s.peers and volume.plan.limit and volume.heads > 1 and lack > 0 and self.now >= due:
             volume.asked = self.now
-            body = _PEER.pack(_WANT, ident, max(lack, volume.plan.limit_depth / volume.heads - volume.level))
+            most = max(lack, volume.plan.limit_depth / volume.heads - volume.level)
+            body = _PEER.pack(_WANT, ident, most, int(self.now * 1000) & 0xFFFFFFFF)
             asked = self.random.sample(sorted(volume.lenders), min(2, len(volume.lenders)))
             volume.lenders -= set(asked)
             self.acts += [Tell(head, body) for head in asked] or [Tell(None, body)]
 
     def _on_peer(self, event: PeerMessage) -> None:
-        """Units of a limit move: a lender takes them off before it tells, no part passes its even depth,
-        so all heads together stay within it whatever is lost."""
-        what, ident, units = _PEER.unpack(event.body) if len(event.body) == _PEER.size else (0, 0, 0.0)
+        """Units of a limit move: a lender takes them off before it tells, no part passes its even depth less
+        what it lent of late, and units that come later than that count no more: so all heads together stay
+        within it whatever is lost or late."""
+        what, ident, units, asked = _PEER.unpack(event.body) if len(event.body) == _PEER.size else _NONE
         volume = self.volumes.get(ident)
         if volume is None or not 0 < units <= volume.plan.limit_depth:
             return
         self._fill(volume)
-        spare = volume.level - volume.queued - volume.mine * self.least_aim
+        spare = volume.level - volume.queued - volume.mine * self.look  # by then it may ask others itself
         if what == _WANT and spare >= 1:
             units = min(units, max(1.0, spare / 2))
             volume.level -= units
-            self.acts.append(Tell(event.sender, _PEER.pack(_LEND, ident, units)))
-        elif what == _LEND:
+            volume.lent.append((self.now, units))
+            self.acts.append(Tell(event.sender, _PEER.pack(_LEND, ident, units, asked)))
+        elif what == _LEND and (int(self.now * 1000) - asked) % 2**32 < self.least_aim * 1000 * ON_TIME:
             volume.lenders.add(event.sender)
-            volume.level = min(volume.plan.limit_depth / volume.heads, volume.level + units)
+            volume.level += units
+            self._fill(volume)
             for lane in [x for x in self.busy.values() if ident in x.active]:
                 self._turn(lane)
 
+    def _on_takers(self, event: Takers) -> None:
+        if volume := self.volumes.get(event.volume):
+            volume.lenders |= set(event.heads) - {self.s.me}
+
     def _place(self, job: _Job) -> _Lane | None:
         """A node for a new object: the better of two drawn ones that are well, lest heads herd."""
         drawn = [self.lanes[c] for c in self.random.sample(self.cells, min(4, len(self.cells)))]
@@ -533,6 +547,24 @@
             self.acts.append(Log(f"node {lane.node} suspected"))
         self._replace(lane)
 
+    def _on_hearsay(self, event: Hearsay) -> None:
+        """Other heads' evidence, weighed by whoever passes it on, with this head's own before it. A node that
+        took no connection by their word may have restarted unseen, so it is taken for cold afterwards.
+        Guards against each head losing requests of its own to learn it. Harm: work waits for a well node if
+        the others are wrong; how many may be shunned so is bounded there."""
+        entry = self.nodes.get(event.node)
+        lane = self.lanes.get(entry.cell) if entry else None
+        if lane is None or lane.node != event.node:
+            return
+        if event.well:
+            self._alive(lane)
+        else:
+            lane.shut |= event.shut
+            if lane.sound():
+                self._suspect(lane, SIGNS - lane.failed)
+            lane.trial_at = self.now + event.pause
+        self._turn(lane)
+
     def _replace(self, lane: _Lane) -> None:
         """New objects held for a node that takes nothing go to another."""
         for job in [j for f in lane.active.values() for j in f.queue if j.req.cell < 0 and not j.doubt()]:
--- a/fawnspool/days/day.py
+++ b/fawnspool/days/day.py
@@ -11,8 +11,10 @@
     NodesBlock,
     PlanBlock,
     ServiceBlock,
+    SharedBlock,
     UnitsBlock,
     check_duties,
+    check_shared,
 )
 from fawnspool.config.schema import Reader, block, spec
 
@@ -22,9 +24,10 @@
 TRAFFIC_FAULTS = ("burst", "plan_burst", "hot_volumes", "scan", "lead_moves", "impatient", "leavers")
 HEAD_FAULTS = ("head_roll", "head_stall", "head_kill")
 MAP_FAULTS = ("moves", "map_gone")
+LINK_FAULTS = ("heads_cut", "heads_deaf", "heads_mute", "bad_net", "head_lies")
 DUTY_FAULTS = ("drain", "duty_kill", "duty_stall", "duty_cut", "duty_one_way", "duty_nodes", "duty_voters", "duty_lost",
                "duty_net", "duty_quiet", "duty_term")
-KINDS = DUTY_FAULTS + NODE_FAULTS + LIST_FAULTS + TRAFFIC_FAULTS + HEAD_FAULTS + MAP_FAULTS
+KINDS = DUTY_FAULTS + LINK_FAULTS + NODE_FAULTS + LIST_FAULTS + TRAFFIC_FAULTS + HEAD_FAULTS + MAP_FAULTS
 
 
 @dataclass(frozen=True)
@@ -121,6 +124,7 @@
     clients: ClientsBlock = block(ClientsBlock)
     service: ServiceBlock = block(ServiceBlock)
     duties: DutiesBlock | None = block(DutiesBlock, optional=True)
+    shared: SharedBlock | None = block(SharedBlock, optional=True)
     trouble: tuple[TroubleBlock, ...] = block(TroubleBlock, many=True)
 
     @property
@@ -131,6 +135,11 @@
         """All volumes, in order, with the block each comes from."""
         return [(f"{v.name}-{k}", v) for v in self.volumes for k in range(v.count)]
 
+    @property
+    def linked(self) -> bool:
+        """Do heads reach each other through links that a drill can cut?"""
+        return self.duties is not None or self.shared is not None
+
     def kinds(self) -> list[str]:
         return sorted({t.kind for t in self.trouble})
 
@@ -168,7 +177,13 @@
         check_duties(day.duties, day.day.heads, reader)
         if not day.day.peers:
             reader.wrong(day.duties, "duties", "heads speak about them by datagrams: set day.peers")
+    if day.shared is not None:
+        check_shared(day.shared, reader)
+        if not day.day.peers:
+            reader.wrong(day.shared, "shared", "heads speak by datagrams: set day.peers")
     for x in day.trouble:
+        if x.kind in LINK_FAULTS and not day.linked:
+            reader.wrong(x, f"trouble.{x.name}.kind", f"{x.kind} needs a duties or a shared block")
         if x.kind in DUTY_FAULTS and day.duties is None:
             reader.wrong(x, f"trouble.{x.name}.kind", f"{x.kind} needs a duties block")
         if x.at >= day.day.length:
--- a/fawnspool/drill/links.py
+++ b/fawnspool/drill/links.py
@@ -21,6 +21,7 @@
 _ESTABLISHED = 1        # of a connection's states (Linux: tcp_states.h)
 STEPS = (b"POST /-/", b"PUT /-/")       # how a mover's step to a node begins
 _LEADING = 23           # bytes before a datagram's body (head/peers.py)
+SHARED = 0xB5           # leading byte of what heads share (shared/messages.py)
 
 
 @dataclass
@@ -41,6 +42,7 @@
     def __init__(self, a: int, b: int, to: tuple[str, int], note: Note, random: Random) -> None:
         self.a, self.b, self.to, self.note, self.random = a, b, to, note, random
         self.weather = Weather()
+        self.lie: Callable[[bytes], bytes] | None = None        # what is passed on in place of a datagram
         self.sock = socket.socket(std.AF_INET, std.SOCK_DGRAM)
         self.sock.bind(("127.0.0.1", 0))
         self.port: int = self.sock.getsockname()[1]
@@ -55,9 +57,12 @@
             w, r = self.weather, self.random
             what = "cut" if w.cut else "lost" if r.random() < w.loss else "passed"
             kind = data[_LEADING + 1] if len(data) > _LEADING + 1 else -1
-            self.note("dgram", a=self.a, b=self.b, what=what, body=kind, size=len(data))
+            lead = data[_LEADING] if len(data) > _LEADING else -1
+            self.note("dgram", a=self.a, b=self.b, what=what, lead=lead, body=kind, size=len(data))
             if what != "passed":
                 continue
+            if self.lie is not None and lead == SHARED:
+                data = data[:_LEADING] + self.lie(data[_LEADING:])
             for _ in range(2 if r.random() < w.twice else 1):
                 if r.random() < w.late:
                     gevent.spawn_later(r.random() * w.late_by, self._pass, data)
--- a/fawnspool/drill/play.py
+++ b/fawnspool/drill/play.py
@@ -7,6 +7,7 @@
 from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass, field, replace
+from functools import partial
 from pathlib import Path
 from random import Random
 from typing import Any
@@ -16,7 +17,7 @@
 
 from fawnspool.config.head import CatalogueBlock, HeadBlock, HeadConfig, ListBlock, PeerBlock, VolumeBlock
 from fawnspool.config.render import render
-from fawnspool.days.day import Day, TroubleBlock
+from fawnspool.days.day import NODE_FAULTS, Day, TroubleBlock
 from fawnspool.days.terms import terms_of
 from fawnspool.days.traffic import held_objects
 from fawnspool.days.troubles import CALM, NODE_SETTINGS, batches, stall_times, targets, waves
@@ -30,8 +31,10 @@
 from fawnspool.records.frames import Writer, rows_of
 from fawnspool.rules.duties import DutyFinding, judge_duties
 from fawnspool.rules.judge import Verdict, judge
+from fawnspool.rules.shared import SharedFinding, judge_shared
 from fawnspool.rules.story import read
 from fawnspool.rules.wrong import WrongSends, wrong_sends
+from fawnspool.shared import messages
 from fawnspool.standins.catalogue import Catalogue, CatalogueServer
 from fawnspool.standins.clients import content, lag_meter
 from fawnspool.standins.meter import MeterServer
@@ -53,6 +56,7 @@
     events: list[tuple[float, str]] = field(default_factory=list)
     wrong: WrongSends | None = None         # where extents moved
     duties: DutyFinding | None = None       # where heads held some
+    shared: SharedFinding | None = None
 
 
 @dataclass
@@ -188,12 +192,12 @@
             volume=tuple(VolumeBlock(name, b.name, b.heads) for name, b in d.volume_names()), peer=peers,
             list=ListBlock(address=f"127.0.0.1:{self.list.where[1]}", mode=d.day.list_mode, call_timeout=1.0),
             catalogue=CatalogueBlock(address=service, watch=d.day.map_watch), duties=duties,
-            nodes=replace(d.nodes, cells=d.day.nodes, zones=tuple(zones)), units=d.units, attempts=d.attempts,
-            clients=d.clients, service=d.service)
+            shared=d.shared, nodes=replace(d.nodes, cells=d.day.nodes, zones=tuple(zones)), units=d.units,
+            attempts=d.attempts, clients=d.clients, service=d.service)
 
     def _peer_port(self, a: int, b: int, port: int) -> int:
-        """Where head `a` sends what is for head `b`: through a link of their own where the day has duties."""
-        return self.links.between(a, b, ("127.0.0.1", port)) if self.day.duties is not None and a != b else port
+        """Where head `a` sends what is for head `b`: through a link of their own where the day's heads share work."""
+        return self.links.between(a, b, ("127.0.0.1", port)) if self.day.linked and a != b else port
 
     def _seen_by(self, head: int, where: str) -> str:
         """A server's address as that head is to use it; through a link of their own where such links are cut."""
@@ -270,6 +274,8 @@
     def _trouble(self, x: TroubleBlock) -> None:
         numbers, heads = targets(self.day, self.seed, x)
         cells = [self.cells[k] for k in numbers]
+        if x.kind in NODE_FAULTS:
+            self.note("ill", nodes=[c.node for c in cells])
         self.event(f"{x.name} ({x.kind}) begins")
         try:
             if x.kind == "neighbour":
@@ -588,6 +594,47 @@
         gevent.sleep(x.length)
         self.links.all_weather(Weather())
 
+    def _do_bad_net(self, x: TroubleBlock, cells: list[_Cell], heads: list[int]) -> None:
+        self._do_duty_net(x, cells, heads)
+
+    def _do_head_lies(self, x: TroubleBlock, cells: list[_Cell], heads: list[int]) -> None:
+        """In place of what these heads say of what they share the others hear that every node is dead; size 1: well."""
+        def lie(k: int, body: bytes) -> bytes:
+            mark = messages.unpack(body).mark
+            verdict = messages.Verdict.WELL if x.size == 1 else messages.Verdict.SHUT
+            rows = tuple(messages.SaysRow(c.node, k, verdict, 9, 0.0) for c in self.cells)
+            return messages.pack(messages.Message(messages.Kind.SAYS, mark, rows))
+
+        liars = [link for (a, _), link in self.links.datagrams.items() if a in heads]
+        for link in liars:
+            link.lie = partial(lie, link.a)
+        self.event(f"heads {', '.join(map(str, sorted(heads)))} lie")
+        gevent.sleep(x.length)
+        for link in liars:
+            link.lie = None
+
+    def _do_heads_cut(self, x: TroubleBlock, cells: list[_Cell], heads: list[int], out: bool = True, back: bool = True
+                      ) -> None:
+        """A part of the heads is cut off from the others, and reaches nodes and services as before; `every` under
+        `length`: it heals and is cut again, for half of the time each. out: what they say is lost; back: what is said
+        to them."""
+        end = time.monotonic() + x.length
+        while time.monotonic() < end:
+            rest = end - time.monotonic()
+            most = min(rest, x.every / 2 if x.every < x.length else rest)
+            self.event(f"heads {', '.join(map(str, sorted(heads)))} cut off{'' if out and back else ', one way'}")
+            self.note("fault", head=-1, what="heads cut", until=time.monotonic() + most, duties=[])
+            self.links.cut_heads(set(heads), out=out, back=back)
+            gevent.sleep(most)
+            self.links.cut_heads(set(heads), out=False, back=False)
+            gevent.sleep(min(max(0.0, end - time.monotonic()), x.every / 2))
+
+    def _do_heads_deaf(self, x: TroubleBlock, cells: list[_Cell], heads: list[int]) -> None:
+        self._do_heads_cut(x, cells, heads, out=False)
+
+    def _do_heads_mute(self, x: TroubleBlock, cells: list[_Cell], heads: list[int]) -> None:
+        self._do_heads_cut(x, cells, heads, back=False)
+
     def _do_duty_quiet(self, x: TroubleBlock, cells: list[_Cell], heads: list[int]) -> None:
         """No head hears any other: no majority anywhere."""
         for k in range(len(self.heads)):
@@ -635,4 +682,7 @@
             duties = judge_duties(story, self.day.duties.lease, bool(self.drained))
             verdict.findings.append(duties.finding)
         wrong = wrong_sends(story) if any(x.kind == "moves" for x in self.day.trouble) else None
-        return Result(verdict, count(self.day, ops), ops, self.events, wrong, duties)
+        shared = judge_shared(story, terms_of(self.day), self.day.day.heads)
+        if self.day.shared is not None:
+            verdict.findings.append(shared.used)
+        return Result(verdict, count(self.day, ops), ops, self.events, wrong, duties, shared)
--- a/fawnspool/head/head.py
+++ b/fawnspool/head/head.py
@@ -18,13 +18,15 @@
 from fawnspool.config.head import HeadConfig, module_settings
 from fawnspool.control import Controller
 from fawnspool.extents.stale import Terms
+from fawnspool.head.attempts import Outcome
 from fawnspool.head.core import Core, PoolBounds
 from fawnspool.head.duties import Duties
 from fawnspool.head.lists import FixedList, ListClient, Row
 from fawnspool.head.nodespeech import NodeSpeech
 from fawnspool.head.peers import Peers
-from fawnspool.head.pending import Body, Pending
+from fawnspool.head.pending import Attempt, Body, Pending
 from fawnspool.head.places import MapClient, Places, Source
+from fawnspool.head.shared import Sharing
 from fawnspool.head.works import Works
 from fawnspool.net.client import Broken, NotReached, call
 from fawnspool.net.http import BadMessage
@@ -32,6 +34,7 @@
 from fawnspool.net.server import address
 from fawnspool.records.behind import Behind
 from fawnspool.records.module import Recorder, module_hash
+from fawnspool.shared.judgements import doubts
 from fawnspool.telemetry import logs
 from fawnspool.telemetry.metrics import HeadMetrics
 from fawnspool.telemetry.traces import Traces
@@ -67,7 +70,8 @@
         recorder = Recorder(h.record, h.policy, settings, h.seed, module_hash(module),
                             self.behind) if h.record else None
         traces = Traces(h.trace, h.trace_share, f"head-{h.number}", self.behind) if h.trace else None
-        self.figures = HeadMetrics(self.gauges, lambda: self.places.status(), self.duty_status)
+        self.figures = HeadMetrics(self.gauges, lambda: self.places.status(), self.duty_status,
+                                   self.shared_status)
         super().__init__(settings, module, NodeSpeech(h.number, settings, c.clients.replay_bytes),
                          PoolBounds(c.nodes.connections, c.nodes.connect_timeout, c.nodes.idle_close),
                          self.figures, logs.get(head=h.number), recorder=recorder, traces=traces)
@@ -84,6 +88,7 @@
             else self._places(config)
         self.peers: Peers | None = None
         self.duties: Duties | None = None
+        self.sharing: Sharing | None = None
 
     def _places(self, config: HeadConfig) -> Places:
         k = config.catalogue
@@ -102,6 +107,11 @@
         self.places.start()
         if self.config.duties is not None and self.peers is not None:
             self._start_duties(self.peers)
+        if self.config.shared is not None and self.peers is not None:
+            self.sharing = Sharing(self.config.shared, h.number, h.heads, h.seed, self.peers,
+                                   {n: name for name, n in self.numbers.items()}, lambda: len(self.list.nodes),
+                                   lambda: doubts(self.loop.module), self.loop.tell, self.log)
+            self.sharing.start()
 
     def _start_duties(self, peers: Peers) -> None:
         c, k = self.config, self.config.catalogue
@@ -121,9 +131,15 @@
         """None: this head takes no part in duties."""
         return None if self.duties is None else self.duties.status()
 
+    def shared_status(self) -> dict[str, Any] | None:
+        """None: this head shares nothing."""
+        return None if self.sharing is None else self.sharing.status()
+
     def stop(self) -> None:
         if self.duties is not None:
             self.duties.stop()
+        if self.sharing is not None:
+            self.sharing.stop()
         self.list.stop()
         self.places.stop()
         if self.peers is not None:
@@ -154,7 +170,10 @@
         if self.traces is not None:
             pending.span = self.traces.begin(came, volume=volume, cls=pending.cls, plan=block.plan, units=units,
                                              method=method.decode(), op=op)
-        return self.take(pending)
+        self.take(pending)
+        if self.sharing is not None:
+            self.sharing.request(req.volume, block.heads, self.config.plan[req.plan], units)
+        return pending
 
     # ------------------------------------------------------------ actions
 
@@ -178,6 +197,12 @@
                 result = i.Result.BROKEN
         self.loop.tell(i.Probed(node, result, time.monotonic() - began, load))
 
+    def _ended(self, pending: Pending, attempt: Attempt, outcome: Outcome) -> i.Outcome:
+        event = super()._ended(pending, attempt, outcome)
+        if self.sharing is not None:
+            self.sharing.outcome(event, pending.req.volume, pending.req.units)
+        return event
+
     def _tell_peer(self, action: i.Tell) -> None:
         if self.peers is not None:
             self.peers.send(action.head, action.body)
@@ -208,4 +233,5 @@
                 "in_hand": len(self.pending), "module": {
                     "events": m.module_events, "errors": m.module_errors,
                     "us_per_event": round(m.module_seconds / max(1, m.module_events) * 1e6, 1)},
-                "map": self.places.status(), "duties": self.duty_status(), "nodes": nodes}
+                "map": self.places.status(), "duties": self.duty_status(),
+                "shared": self.shared_status(), "nodes": nodes}
--- a/fawnspool/interface.py
+++ b/fawnspool/interface.py
@@ -201,7 +201,25 @@
     body: bytes
 
 
-Event = NodeList | Request | Begun | Outcome | ClientGone | Timer | Probed | PeerMessage
+@dataclass(frozen=True, slots=True)
+class Takers:
+    """Other heads that are known to serve a volume."""
+
+    volume: int
+    heads: tuple[int, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Hearsay:
+    """What other heads' evidence says of a node now. well: some found it so after all that was said against it."""
+
+    node: int
+    well: bool
+    pause: float                 # not well: seconds until this head's turn to try it
+    shut: bool                   # not well: it took no connection
+
+
+Event = NodeList | Request | Begun | Outcome | ClientGone | Timer | Probed | PeerMessage | Takers | Hearsay
 
 
 # --------------------------------------------------------------- actions
--- /dev/null
+++ b/fawnspool/model/between.py
@@ -0,0 +1,126 @@
+"""What passes between heads in simulated time, cut, lost, doubled, late; and the heads' own `Sharer`."""
+from __future__ import annotations
+
+from random import Random
+from typing import TYPE_CHECKING, Any
+
+from fawnspool import interface as i
+from fawnspool.days.day import TroubleBlock
+from fawnspool.shared.judgements import Hearsay, doubts
+from fawnspool.shared.messages import LEADING, pack, unpack
+from fawnspool.shared.sharer import Out, Sharer
+from fawnspool.shared.takers import Say
+from fawnspool.shared.terms import Terms
+
+if TYPE_CHECKING:
+    from fawnspool.model.world import World, _Head
+
+FRAME = 28 + 23         # bytes of IP and UDP headers, and of `head/peers.py`
+
+
+class Between:
+    """Of one world. sent, bytes: by head, of bodies about shared budgets."""
+
+    def __init__(self, world: World) -> None:
+        self.world, self.random = world, Random(f"{world.own}-between")
+        self.cut: set[tuple[int, int]] = set()      # (from, to)
+        self.part = self.late_by = 0.0              # of bad weather
+        self.sent: dict[int, int] = {}
+        self.bytes: dict[int, int] = {}
+        self.hearsay: list[tuple[float, int, Hearsay]] = []     # when, at which head
+
+    def send(self, sender: int, head: _Head, body: bytes) -> None:
+        w, r = self.world, self.random
+        if body[:1] == bytes((LEADING,)):
+            self.sent[sender] = self.sent.get(sender, 0) + 1
+            self.bytes[sender] = self.bytes.get(sender, 0) + len(body) + FRAME
+        if (sender, head.number) in self.cut or (self.part and r.random() < self.part):
+            return
+        for _ in range(2 if self.part and r.random() < self.part else 1):
+            late = r.random() * self.late_by if self.part and r.random() < self.part else 0.0
+            w.engine.after(w.hop(w.params.client_net) + late, self._arrive, head, head.life, sender, body)
+
+    def _arrive(self, head: _Head, life: int, sender: int, body: bytes) -> None:
+        if not head.up:
+            return
+        if body[:1] == bytes((LEADING,)):
+            if head.sharing is not None:        # also what was meant for an earlier life: it must see that itself
+                head.do(0.0, head.sharing.hear, sender, body)
+        elif head.life == life:
+            head.do(0.0, head.tell, i.PeerMessage(sender, body))
+
+    def trouble(self, x: TroubleBlock, heads: list[int]) -> None:
+        after, some = self.world.engine.after, set(heads)
+        if x.kind == "bad_net":
+            self.part, self.late_by = x.part, x.size
+            after(x.length, self._calm)
+            return
+        at, period = 0.0, x.every if x.every < x.length else 2 * x.length
+        while at < x.length:
+            after(at, self._split, some, x.kind != "heads_deaf", x.kind != "heads_mute")
+            after(min(x.length, at + period / 2), self._split, some, False, False)
+            at += period
+
+    def _calm(self) -> None:
+        self.part = 0.0
+
+    def _split(self, some: set[int], out: bool, back: bool) -> None:
+        """out: what `some` say to the others is lost; back: what is said to them."""
+        every = range(len(self.world.heads))
+        pairs = {(a, b) for a in some for b in every if b not in some}
+        self.cut -= pairs | {(b, a) for a, b in pairs}
+        self.cut |= (pairs if out else set()) | ({(b, a) for a, b in pairs} if back else set())
+
+
+class Sharing:
+    """One life of a head: what `head/shared.py` does."""
+
+    def __init__(self, head: _Head, seed: int) -> None:
+        self.head, self.world, self.life = head, head.world, head.life
+        s = head.config.shared
+        assert s is not None
+        w = self.world
+        terms = Terms(w.day.day.heads, s.every, s.fades, s.shun)
+        self.sharer = Sharer(terms, head.number, head.life, seed, w.engine.now)
+        self._again()
+
+    def _again(self) -> None:
+        self.world.engine.at(self.sharer.due(), self._tick)
+
+    def _tick(self) -> None:
+        if self.head.up and self.head.life == self.life:
+            self.head.do(0.0, self._do_tick)
+
+    def _do_tick(self) -> None:
+        self._out(self.sharer.look(self.world.engine.now, len(self.world.listed), doubts(self.head.module)))
+        self._again()
+
+    def request(self, req: i.Request) -> None:
+        plan = self.head.settings.plans[req.plan]
+        if plan.limit and req.heads > 1:
+            self.sharer.table.asked(self.world.engine.now, req.volume, req.heads, plan.limit, plan.limit_depth,
+                                    req.units)
+
+    def outcome(self, event: i.Outcome, req: i.Request) -> None:
+        if event.result is i.Result.SERVED:
+            self.sharer.table.used(req.volume, req.units)
+        self._out(self.sharer.outcome(self.world.engine.now, event))
+
+    def hear(self, sender: int, body: bytes) -> None:
+        self._out(self.sharer.hear(self.world.engine.now, sender, unpack(body)))
+
+    def _out(self, out: list[Out]) -> None:
+        w = self.world
+        for o in out:
+            if isinstance(o, Say):
+                w.peer(self.head.number, o.to, pack(o.message))
+            elif isinstance(o, Hearsay):
+                w.between.hearsay.append((w.engine.now, self.head.number, o))
+                self.head.tell(i.Hearsay(o.node, o.well, o.pause, o.shut))
+            else:
+                self.head.tell(i.Takers(o.volume, o.heads))
+
+
+def sharing(head: Any, seed: int) -> Sharing | None:
+    """None: this head shares nothing."""
+    return Sharing(head, seed) if head.config.shared is not None else None
--- a/fawnspool/model/world.py
+++ b/fawnspool/model/world.py
@@ -25,11 +25,12 @@
     VolumeBlock,
     module_settings,
 )
-from fawnspool.days.day import Day, TroubleBlock
+from fawnspool.days.day import LINK_FAULTS, Day, TroubleBlock
 from fawnspool.days.retry import pause_before_next
 from fawnspool.days.traffic import Op, held_objects, make
 from fawnspool.days.troubles import CALM, NODE_SETTINGS, batches, stall_times, targets, waves
 from fawnspool.days.worth import Served
+from fawnspool.model.between import Between, sharing
 from fawnspool.model.engine import Engine
 from fawnspool.model.node import NodeBehaviour, NodeTraits, Work
 from fawnspool.model.params import Params
@@ -179,6 +180,7 @@
         self.warm: set[int] = set()
         self.places: set[tuple[str, str]] = set()
         w.note("head", head=self.number, what="up")
+        self.sharing = sharing(self, self.config.head.seed)
         self.watching = False
         self.tell(i.NodeList(i.ListKind.SAVED, 0, self.saved))
         if w.day.day.list_mode == "push" and not self.watching:
@@ -354,6 +356,8 @@
         pending = self.pending[req.id] = _Pending(req, asked, deadline)
         w.engine.at(deadline + w.day.clients.answer_margin / 2, self._overdue, self.life, pending)
         self.tell(req)
+        if self.sharing is not None:
+            self.sharing.request(req)
 
     def _overdue(self, life: int, pending: _Pending) -> None:
         if life == self.life and self.up and not pending.settled:
@@ -449,8 +453,11 @@
         pending.open -= 1
         rate = self.settings.plans[pending.req.plan].rate
         self._forget(pending)
-        self.tell(i.Outcome(pending.req.id, attempt.number, attempt.node.number, self.world.engine.now - attempt.sent,
-                            result, pending.settled, others, use / rate if use is not None and rate else None, load))
+        event = i.Outcome(pending.req.id, attempt.number, attempt.node.number, self.world.engine.now - attempt.sent,
+                          result, pending.settled, others, use / rate if use is not None and rate else None, load)
+        self.tell(event)
+        if self.sharing is not None:
+            self.sharing.outcome(event, pending.req)
 
 
 class World:
@@ -490,6 +497,7 @@
             self.cells.append(node)
         self.meter_sums: dict[int, float] = {}
         self.meter_last: dict[int, float] = {}
+        self.between = Between(self)
         self.policies: list[Policy] = [policy] * day.day.heads     # of each head, from its next start on
         self.heads = [_Head(self, k) for k in range(day.day.heads)]
         self.fresh: dict[str, deque[tuple[str, int]]] = {}
@@ -511,7 +519,7 @@
             volume=tuple(VolumeBlock(name, b.name, b.heads) for name, b in d.volume_names()), peer=peers,
             list=ListBlock(address="127.0.0.1:1", mode=d.day.list_mode), catalogue=CatalogueBlock("127.0.0.1:1"),
             nodes=replace(d.nodes, cells=d.day.nodes, zones=self.zones), units=d.units, attempts=d.attempts,
-            clients=d.clients, service=d.service)
+            clients=d.clients, service=d.service, shared=d.shared)
 
     # ------------------------------------------------------------ run
 
@@ -540,11 +548,7 @@
     def peer(self, sender: int, to: int | None, body: bytes) -> None:
         for head in self.heads:
             if head.number != sender and to in (None, head.number):
-                self.engine.after(self.hop(self.params.client_net), self._peer, head, head.life, sender, body)
-
-    def _peer(self, head: _Head, life: int, sender: int, body: bytes) -> None:
-        if head.up and head.life == life:
-            head.do(0.0, head.tell, i.PeerMessage(sender, body))
+                self.between.send(sender, head, body)
 
     # ------------------------------------------------------------ clients
 
@@ -752,6 +756,8 @@
             after(x.length, self._calm, nodes, x.kind, x)
         elif x.kind in ("crash", "unlisted_restart"):
             self._crash(x, nodes)
+        elif x.kind in LINK_FAULTS:
+            self.between.trouble(x, heads)
         elif x.kind == "ageing":
             steps = max(1, int(x.length / 0.5))
             for k in range(1, steps + 1):
--- a/fawnspool/records/module.py
+++ b/fawnspool/records/module.py
@@ -22,7 +22,7 @@
 
 FORM, VERSION = "module", 1
 EVENTS: tuple[type[Any], ...] = (i.NodeList, i.Request, i.Begun, i.Outcome, i.ClientGone, i.Timer, i.Probed,
-                                 i.PeerMessage)
+                                 i.PeerMessage, i.Takers, i.Hearsay)
 ACTIONS: tuple[type[Any], ...] = (i.Send, i.Refuse, i.Fail, i.Cancel, i.SetTimer, i.Probe, i.CloseIdle, i.Tell,
                                   i.Log, i.Watch, i.FetchList)
 # A field that came later has a default: recordings made before it leave it out.
@@ -64,6 +64,7 @@
     i.NodeList: {"kind": i.ListKind, "entries": lambda rows: tuple(_make(i.ListEntry, r) for r in rows)},
     i.Outcome: {"result": i.Result, "load": _tuple},
     i.Probed: {"result": i.Result, "load": _tuple},
+    i.Takers: {"heads": tuple},
 }
 
 
--- a/fawnspool/rules/story.py
+++ b/fawnspool/rules/story.py
@@ -22,6 +22,8 @@
     head    duty    head who what duty token end             took, until (renewed), lost; end: of its lease
     drill   fault   head what until duties                   killed, stopped, cut, ...; what the head held then
     drill   drained left missing twice                       where extents lay at the end
+    drill   ill     nodes                                    a trouble of nodes hits these
+    drill   dgram   a b what lead body size                  a datagram from head a to b passed, was lost or cut
     any     lag   who s                              how late a timer of this process rang
 """
 from __future__ import annotations
@@ -55,6 +57,8 @@
     flips: list[Row] = field(default_factory=list)          # the map service heard that an extent has moved
     elsewheres: list[Row] = field(default_factory=list)     # a node did not serve what it was sent
     tolds: list[Row] = field(default_factory=list)
+    ill: set[int] = field(default_factory=set)              # nodes that a trouble hit
+    dgrams: list[Row] = field(default_factory=list)         # datagrams between heads, and what became of them
     lives: dict[int, list[Row]] = field(default_factory=lambda: defaultdict(list))
     stalls: dict[int, list[tuple[float, float]]] = field(default_factory=lambda: defaultdict(list))
     lag: float = 0.0
@@ -131,6 +135,10 @@
                 story.faults.append(row)
             case "drained":
                 story.drains.append(row)
+            case "ill":
+                story.ill |= set(row["nodes"])
+            case "dgram":
+                story.dgrams.append(row)
             case "told":
                 story.tolds.append(row)
             case "head":
--- a/fawnspool/telemetry/metrics.py
+++ b/fawnspool/telemetry/metrics.py
@@ -48,13 +48,29 @@
     yield family
 
 
+def _shared(s: dict[str, Any]) -> Iterator[Any]:
+    yield GaugeMetricFamily("fawnspool_shared_alone", "1 while this head hears no other.", value=float(s["alone"]))
+    yield GaugeMetricFamily("fawnspool_shared_heads", "Heads that are heard, with this one.", value=s["heads"])
+    yield GaugeMetricFamily("fawnspool_shared_volumes", "Volumes with a limit that this head serves with others.",
+                            value=s["volumes_in_all"])
+    yield GaugeMetricFamily("fawnspool_shared_shunned", "Nodes shunned on others' evidence.", value=len(s["shunned"]))
+    for name, text, value in (
+            ("fawnspool_shared_said", "Datagrams sent about what heads share.", s["said"]),
+            ("fawnspool_shared_unread", "Datagrams about it that did not read.", s["unread"]),
+            ("fawnspool_shared_strangers", "Datagrams of heads whose settings differ.", s["strangers"]),
+            ("fawnspool_shared_turned", "Times the module was told to shun a node.", s["told_shunned"]),
+            ("fawnspool_shared_mended", "Times it was told that one is well again.", s["told_mended"])):
+        yield CounterMetricFamily(name, text, value=value)
+
+
 class HeadMetrics(Sums):
     """Sums of one head; `gauges` is asked for the present state when the page is read."""
 
     def __init__(self, gauges: Callable[[], dict[str, dict[int, float]]], places: Callable[[], dict[str, Any]],
-                 duties: Callable[[], dict[str, Any] | None] = lambda: None) -> None:
+                 duties: Callable[[], dict[str, Any] | None] = lambda: None,
+                 shared: Callable[[], dict[str, Any] | None] = lambda: None) -> None:
         super().__init__()
-        self.gauges, self.places, self.duties = gauges, places, duties
+        self.gauges, self.places, self.duties, self.shared = gauges, places, duties, shared
         self.registry = CollectorRegistry()
         self.registry.register(self)
 
@@ -108,6 +124,8 @@
             yield CounterMetricFamily(name, text, value=value)
         if (duties := self.duties()) is not None:
             yield from _duties(duties)
+        if (shared := self.shared()) is not None:
+            yield from _shared(shared)
         for name, rows in self.gauges().items():
             family = GaugeMetricFamily(f"fawnspool_node_{name}", f"Now, by node: {name}.", labels=["node"])
             for node, value in sorted(rows.items()):
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -29,6 +29,7 @@
     Send,
     SetTimer,
     Settings,
+    Tell,
     Timer,
 )
 
@@ -125,6 +126,7 @@
         self.ends: dict[int, Action] = {}
         self.tries: dict[int, int] = {}
         self.logs: list[Action] = []
+        self.told: list[Tell] = []
         self.ids = 0
         self.asked: dict[int, float] = {}  # units by request
         rows = tuple(entry(10 + k, k) for k in range(nodes))
@@ -141,6 +143,8 @@
             elif isinstance(action, Refuse | Fail):
                 assert action.id not in self.ends, "two final answers"
                 self.ends[action.id] = action
+            elif isinstance(action, Tell):
+                self.told.append(action)
             elif isinstance(action, SetTimer):
                 self.timers.append((self.now + action.delay, action.token))
         return actions
--- a/tests/test_size.py
+++ b/tests/test_size.py
@@ -132,7 +132,7 @@
     first = [a for a in h.control.acts if isinstance(a, Tell)]
     assert [t.head for t in first] == [None]
     for peer in range(5, 15):
-        h.give(PeerMessage(peer, b"\x02" + first[0].body[1:9] + b"\x3c\x00\x00\x00"))
+        h.give(PeerMessage(peer, b"\x02" + first[0].body[1:9] + b"\x3c\x00\x00\x00" + first[0].body[13:]))
     assert len(h.control.volumes[1].lenders) == 10
     h.run(h.now + 0.2)
     h.ask(1, units=8.0, heads=20)
@@ -205,7 +205,7 @@
         h.give(
             Request(10_000 + k, k % 2, volume % 2, k % 3, patience, volume, 1.0, cell, count, repeat, False)
         )
-        h.give(PeerMessage(count, bytes([1 + k % 2]) + volume.to_bytes(8, "big") + b"\x7f\xc0\x00\x00"))
+        h.give(PeerMessage(count, bytes([1 + k % 2]) + volume.to_bytes(8, "big") + b"\x7f\xc0\x00\x00" + bytes(4)))
         for ident, job in list(h.control.jobs.items())[:2]:
             for n, attempt in enumerate(job.tries):
                 if attempt.open:
