Keep a lender's small reserve to volumes whose heads are known; test sharing on processes

At fault: the reserve in control.py, _on_peer. It is small now only where the module was told who serves the volume, so nothing changes where nothing is shared.

Tests between processes (tests/e2e/test_shared.py): cut, stopped and killed heads and datagrams lost, doubled and late at once; a doctored fleet that goes on using what it lent, and one that believes whatever it hears, are found by the judge.

--- a/fawnspool/control.py
+++ b/fawnspool/control.py
@@ -83,6 +83,7 @@
     asked: float = 0.0          # when peers were last asked for units of its limit
     queued: float = 0.0         # units held here that have drawn nothing of a limit yet
     lenders: set[int] = field(default_factory=set)
+    known: bool = False         # is it told which heads serve the volume?
     lent: deque[tuple[float, float]] = field(default_factory=deque)     # when, units: may be on their way yet
     part: float = 0.0           # share of the volume's use that came through this head
     use: float = 0.0            # the volume's whole use as the meter last told, as a share of its rate
@@ -299,7 +300,8 @@
         if volume is None or not 0 < units <= volume.plan.limit_depth:
             return
         self._fill(volume)
-        spare = volume.level - volume.queued - volume.mine * self.look  # by then it may ask others itself
+        again = self.look if volume.known else self.least_aim   # until it may have units of others itself
+        spare = volume.level - volume.queued - volume.mine * again
         if what == _WANT and spare >= 1:
             units = min(units, max(1.0, spare / 2))
             volume.level -= units
@@ -314,7 +316,7 @@
 
     def _on_takers(self, event: Takers) -> None:
         if volume := self.volumes.get(event.volume):
-            volume.lenders |= set(event.heads) - {self.s.me}
+            volume.known, volume.lenders = True, volume.lenders | set(event.heads) - {self.s.me}
 
     def _place(self, job: _Job) -> _Lane | None:
         """A node for a new object: the better of two drawn ones that are well, lest heads herd."""
--- a/tests/e2e/doctored.py
+++ b/tests/e2e/doctored.py
@@ -12,12 +12,15 @@
 
 import gevent
 
+from fawnspool import control
 from fawnspool.cli.main import main
+from fawnspool.control import Controller
 from fawnspool.duties import vote
 from fawnspool.duties.fence import Fenced
 from fawnspool.duties.vote import Seat
 from fawnspool.duties.voter import Memory
 from fawnspool.head import duties, votefile, works
+from fawnspool.shared import judgements
 from fawnspool.standins import moving
 
 
@@ -90,8 +93,43 @@
     works.Works._wishes = wishes                            # type: ignore[method-assign]
 
 
+def keeps_lent() -> None:
+    """A head that lends units of a limit and goes on using them."""
+    real = Controller._on_peer
+
+    def lends(self: Any, event: Any) -> None:
+        levels = {k: v.level for k, v in self.volumes.items()}
+        real(self, event)
+        for k, level in levels.items():
+            if self.volumes[k].lent and self.volumes[k].level < level:
+                self.volumes[k].level = level
+                self.volumes[k].lent.clear()
+    Controller._on_peer = lends                             # type: ignore[method-assign]
+
+
+def late_units() -> None:
+    """A head that counts units however late they come, and fills up at once what it lent."""
+    control.ON_TIME = 1e9                                   # type: ignore[misc]
+    real = Controller._fill
+
+    def fills(self: Any, volume: Any) -> None:
+        volume.lent.clear()
+        real(self, volume)
+    Controller._fill = fills                                # type: ignore[method-assign]
+
+
+def hearsay_alone() -> None:
+    """A head that believes whatever it hears of a node, before its own answers, and does not try it."""
+    def weigh(self: Any, now: float, node: int, n: Any) -> list[Any]:
+        bad = [f for f in n.found.values() if f.verdict]
+        return [judgements.Hearsay(node, False, 60.0)] if bad else []
+    judgements.Judge._weigh = weigh                         # type: ignore[method-assign]
+    judgements.Judge.well = lambda self, now, node: []      # type: ignore[method-assign]
+
+
 HOW: dict[str, Callable[[], None]] = {f.__name__: f for f in (
-    ignores_end, no_token, forgets_votes, votes_twice, forgets_fence, wrong_place)}
+    ignores_end, no_token, forgets_votes, votes_twice, forgets_fence, wrong_place, keeps_lent, late_units,
+    hearsay_alone)}
 
 if __name__ == "__main__":
     HOW[sys.argv.pop(1)]()
--- /dev/null
+++ b/tests/e2e/test_shared.py
@@ -0,0 +1,62 @@
+"""What heads share, between real processes: faults between them, and doctored heads that the judge must find."""
+from __future__ import annotations
+
+import json
+import subprocess
+import sys
+from dataclasses import replace
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from fawnspool.config.schema import load
+from fawnspool.days.day import Day, TroubleBlock, check
+from fawnspool.drill.play import Play, Result
+from fawnspool.records.frames import rows_of
+from fawnspool.rules.story import read
+
+FILE = Path(__file__).parent / "shared.hcl"
+
+
+def play(tmp: Path, *troubles: TroubleBlock, **more: Any) -> Result:
+    day = load(FILE, Day, check)
+    return Play(replace(day, trouble=(*day.trouble, *troubles)), FILE, tmp, 1, **more).run()
+
+
+def trouble(kind: str, at: float = 2.0, length: float = 5.0, **more: Any) -> TroubleBlock:
+    return TroubleBlock(name=kind, kind=kind, at=at, length=length, **more)
+
+
+def broken(result: Result) -> set[str]:
+    return {f.rule for f in result.verdict.findings if f.breaches}
+
+
+def test_limits_hold_while_heads_are_cut_stopped_killed_and_datagrams_go_astray(tmp_path: Path) -> None:
+    result = play(tmp_path, trouble("heads_cut", part=0.5, every=2.0),
+                  trouble("head_stall", part=0.34, size=1.0, every=2.0),
+                  trouble("head_kill", at=4.0, part=0.17, down=0.3),
+                  trouble("bad_net", part=0.2, size=2.0))
+    assert "limits kept" not in broken(result) and "well nodes used" not in broken(result)
+    story = read(rows_of(tmp_path))
+    did = {row["what"] for row in story.dgrams}
+    assert did == {"cut", "lost", "passed"} and story.stalls and any(
+        row["what"] == "killed" for rows in story.lives.values() for row in rows)     # each fault was caused
+    assert result.shared is not None and result.shared.bytes > 0
+    assert next(f for f in result.verdict.findings if f.rule == "limits kept").nearest > 0.1
+
+
+@pytest.mark.parametrize("head, troubles, rule", [
+    ("keeps_lent", (), "limits kept"),
+    ("hearsay_alone", (trouble("head_lies", at=1.0, length=7.0, part=0.17, size=0.0),), "well nodes used"),
+])
+def test_each_doctored_head_is_found(tmp_path: Path, head: str, troubles: tuple[TroubleBlock, ...], rule: str) -> None:
+    result = play(tmp_path, *troubles, head_command=(head, "serve"), head_module="tests.e2e.doctored")
+    assert rule in broken(result)
+
+
+def test_run_starts_and_imports_none_of_it() -> None:
+    code = ("import sys, json, fawnspool.relay.program; "
+            "print(json.dumps([m for m in sys.modules if m.startswith('fawnspool.')]))")
+    loaded = json.loads(subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, check=True).stdout)
+    assert "fawnspool.relay.program" in loaded and not [m for m in loaded if "shared" in m]
