--- a/fawnspool/model/between.py
+++ b/fawnspool/model/between.py
@@ -6,8 +6,8 @@
 
 from fawnspool import interface as i
 from fawnspool.days.day import TroubleBlock
-from fawnspool.shared.judgements import Hearsay, doubts
-from fawnspool.shared.messages import LEADING, pack, unpack
+from fawnspool.shared.judgements import SAID_MOST, Hearsay, doubts
+from fawnspool.shared.messages import LEADING, Kind, Message, SaysRow, Verdict, pack, unpack
 from fawnspool.shared.sharer import Out, Sharer
 from fawnspool.shared.takers import Say
 from fawnspool.shared.terms import Terms
@@ -25,12 +25,17 @@
         self.world, self.random = world, Random(f"{world.own}-between")
         self.cut: set[tuple[int, int]] = set()      # (from, to)
         self.part = self.late_by = 0.0              # of bad weather
+        self.liars: dict[int, Verdict] = {}         # what they say of every node, in place of what they share
         self.sent: dict[int, int] = {}
         self.bytes: dict[int, int] = {}
         self.hearsay: list[tuple[float, int, Hearsay]] = []     # when, at which head
 
     def send(self, sender: int, head: _Head, body: bytes) -> None:
         w, r = self.world, self.random
+        if sender in self.liars and body[:1] == bytes((LEADING,)):
+            nodes = r.sample(sorted(w.listed), min(SAID_MOST, len(w.listed)))
+            rows = tuple(SaysRow(n, sender, self.liars[sender], 9, 0.0) for n in nodes)
+            body = pack(Message(Kind.SAYS, unpack(body).mark, rows))
         if body[:1] == bytes((LEADING,)):
             self.sent[sender] = self.sent.get(sender, 0) + 1
             self.bytes[sender] = self.bytes.get(sender, 0) + len(body) + FRAME
@@ -55,12 +60,20 @@
             self.part, self.late_by = x.part, x.size
             after(x.length, self._calm)
             return
+        if x.kind == "head_lies":
+            self.liars |= dict.fromkeys(heads, Verdict.WELL if x.size == 1 else Verdict.SHUT)
+            after(x.length, self._honest, heads)
+            return
         at, period = 0.0, x.every if x.every < x.length else 2 * x.length
         while at < x.length:
             after(at, self._split, some, x.kind != "heads_deaf", x.kind != "heads_mute")
             after(min(x.length, at + period / 2), self._split, some, False, False)
             at += period
 
+    def _honest(self, heads: list[int]) -> None:
+        for head in heads:
+            self.liars.pop(head, None)
+
     def _calm(self) -> None:
         self.part = 0.0
 
--- a/fawnspool/shared/judgements.py
+++ b/fawnspool/shared/judgements.py
@@ -3,7 +3,8 @@
 A head says what it found itself, and passes on what others found, each with whose it is and how old. A node is shunned
 on hearsay only where
 
-    two heads at least, and `QUORUM` of those that are heard at all, found it bad lately and say nothing better since,
+    two heads at least, and `QUORUM` of all that there are by the settings (not of those that are heard: in a large
+    fleet these are few, and whoever says the most is among them), found it bad lately and say nothing better since,
     with signs enough also without the one that says the most,
     more of them than found it well after their first finding,
     this head has no later good answer of its own, or one of just now, and
@@ -26,7 +27,7 @@
 from fawnspool.shared.takers import Say
 from fawnspool.shared.terms import Terms
 
-QUORUM = 0.25           # of the heads that are heard: one in five may be wrong, and a bad node is named by more soon
+QUORUM = 0.25           # of the heads: one in five may be wrong, and a bad node is named by more soon
 SIGNS_BAD = 3           # in a row with no good answer between, as one head alone asks for; of the others of several one
                         # less: a head that says much counts as one sign, or it and a single lost answer would turn all
 FRESH_LOOKS = 2         # own good answers so young go before what is heard, even if that is a little younger
@@ -193,10 +194,10 @@
             if good >= MENDED:
                 return self._end(now, node, n)
             # One found it well: a few try it now, and do not wait for their turns.
-            few = good and self.random.random() < ASKED / self.there(now)
+            few = good and self.random.random() < ASKED / self.terms.heads
             return [self._shun(now, node, n, 0.0)] if few else []
         bad = self._bad(now, n)
-        needs = max(2, math.ceil(QUORUM * self.there(now)))
+        needs = max(2, math.ceil(QUORUM * self.terms.heads))
         signs = [f.signs for f in bad]
         if len(bad) < needs or sum(signs) - max(signs) < SIGNS_BAD - 1:     # without the one that says the most
             return []
@@ -218,8 +219,8 @@
         return [node for node, n in self.nodes.items() if n.shunned is not None]
 
     def _turn(self, now: float) -> float:
-        """Seconds until this head's turn: drawn, so that all that are there make TRIES_S a second together."""
-        return self.random.uniform(0.0, 2.0) * self.there(now) / TRIES_S
+        """Seconds until this head's turn: drawn, so that all that there are make TRIES_S a second together."""
+        return self.random.uniform(0.0, 2.0) * self.terms.heads / TRIES_S
 
     def _end(self, now: float, node: int, n: _Node) -> list[Out]:
         n.shunned = None
--- a/fawnspool/shared/takers.py
+++ b/fawnspool/shared/takers.py
@@ -64,6 +64,7 @@
         self.mine: OrderedDict[int, _Volume] = OrderedDict()        # the longest unsaid first
         self.kept: OrderedDict[int, Count] = OrderedDict()          # as a keeper
         self.lacking: OrderedDict[int, None] = OrderedDict()
+        self.answers = 0                        # given since the last look
 
     def asked(self, now: float, volume: int, takers: int, rate: float, burst: float, units: float) -> None:
         """Units of a volume are asked for at this head, one of `takers`; rate, burst: of the volume's limit."""
@@ -99,7 +100,8 @@
             if not isinstance(r, CountRow) or r.head != sender or self.me not in self.terms.keepers(r.volume):
                 continue
             count = self._keep(now, r)
-            if m.kind is Kind.WANT:
+            if m.kind is Kind.WANT and self.answers < ROWS_A_LOOK:
+                self.answers += 1
                 others = [lives[0] for h, lives in count.marks.items() if h != sender]
                 out += [self._row(now, r.volume, x) for x in self.random.sample(others, min(NAMED, len(others)))]
         return self._say(sender, Kind.HEADS, out)
@@ -135,7 +137,7 @@
         longest, as many as a look may hold."""
         rows: dict[tuple[int, Kind], list[CountRow]] = {}
         named: dict[int, set[int]] = {}
-        room = ROWS_A_LOOK
+        room, self.answers = ROWS_A_LOOK, 0
         self.lacking = OrderedDict((k, None) for k in self.lacking if now - self.mine[k].lacks < LACKS_S)
         for volume in list(self.lacking):
             v = self.mine[volume]
--- a/fawnspool/shared/terms.py
+++ b/fawnspool/shared/terms.py
@@ -9,7 +9,8 @@
 import xxhash
 
 KEEPERS = 2             # heads that keep who takes part in a volume: one may be down, or cut off
-ROWS_A_LOOK = 24        # rows that a head says of its own accord at one look: bounds its bytes whatever it has
+ROWS_A_LOOK = 4         # volumes that a head speaks of at one look, and answers that it gives as a keeper: bounds its
+                        # bytes whatever it has, as each goes to keepers of its own
 
 
 @dataclass(frozen=True)
--- a/tests/test_judge.py
+++ b/tests/test_judge.py
@@ -169,3 +169,34 @@
         back["began"] = began
     rows = [back, ask(6.9, "y"), came(6.9990, "y", 11), out(7.1, "y", 11), got(7.2, "y")]
     assert broken(rows) == ({"drains kept"} if breaks else set())
+
+
+def test_a_client_that_was_refused_and_asks_again_has_a_new_place() -> None:
+    """Seen in simulated time: its first try, refused, came before another's request, its second after it."""
+    first = [ask(4.0, "x", cls=1), got(4.1, "x", "refused")]
+    other = one(4.5, "y", 9, cls=1, x=8)
+    again = [ask(4.6, "x", n=1, cls=1), came(4.62, "x", 10, cls=1, x=8), out(4.65, "x", 10), got(4.66, "x", n=1)]
+    assert broken([*first, *other, *again]) == set()
+    # and one whose last try came well before the other's is behind it all the same
+    late = [ask(4.2, "x", n=1, cls=1), came(4.62, "x", 10, cls=1, x=8), out(4.65, "x", 10), got(4.66, "x", n=1)]
+    assert broken([*first, *other, *late]) == {"order kept"}
+
+
+def test_a_node_that_is_well_and_gets_nothing_is_seen() -> None:
+    from fawnspool.rules.shared import judge_shared
+    rows = [UP, *CLEAN[1:2], *({**ask(k * 0.1, f"a{k}")} for k in range(200))]
+    rows += [came(k * 0.1 + 0.01, f"a{k}", k) for k in range(200) if not 60 < k < 140]
+    assert judge_shared(read(rows), TERMS, 1).used.breaches
+    ill = [*rows, {"k": "ill", "t": 5.0, "nodes": [1]}]
+    assert not judge_shared(read(ill), TERMS, 1).used.breaches
+    whole = [*rows, *(came(k * 0.1 + 0.01, f"a{k}", k) for k in range(61, 140))]
+    assert not judge_shared(read(whole), TERMS, 1).used.breaches
+
+
+def test_refusals_that_a_limit_had_room_for_are_counted_once_each() -> None:
+    from fawnspool.rules.shared import judge_shared
+    rows: Rows = [{**UP, "t": 0.0}]
+    rows += [ask(1.0 + k * 0.01, f"a{k}", vol="v", units=4.0) for k in range(6)]
+    rows += [got(1.001 + k * 0.01, f"a{k}", "refused") for k in range(6)]
+    found = judge_shared(read(rows), TERMS, 1)
+    assert (found.asked, found.refused, found.within) == (6, 6, 2)      # 10 units since the start: two of four each
