Emit the module's own events from shared/; pages, a person's view, clocks and full disks between processes

The two results of sharing stood twice, as the interface's and as shared/'s own records: one of each is left. `fawnspool shared show`, lines in `status`, metrics: tested on a running fleet while one head lies.

--- a/fawnspool/head/shared.py
+++ b/fawnspool/head/shared.py
@@ -14,7 +14,6 @@
 from fawnspool import interface as i
 from fawnspool.config.head import PlanBlock, SharedBlock
 from fawnspool.head.peers import Peers
-from fawnspool.shared.judgements import Hearsay
 from fawnspool.shared.messages import LEADING, Unread, pack, unpack
 from fawnspool.shared.sharer import Out, Sharer
 from fawnspool.shared.takers import Say
@@ -88,14 +87,13 @@
             if isinstance(o, Say):
                 self.counts["said"] += 1
                 self.peers.send(o.to, pack(o.message))
-            elif isinstance(o, Hearsay):
+                continue
+            if isinstance(o, i.Hearsay):
                 if o.well or o.node not in self.shunned:        # else: its turn to try it is another
                     self.counts["mended" if o.well else "shunned"] += 1
                     self.log.info("a shunned node is well" if o.well else "node shunned on hearsay", node=o.node)
                 self.shunned = self.shunned - {o.node} if o.well else self.shunned | {o.node}
-                self.tell(i.Hearsay(o.node, o.well, o.pause, o.shut))
-            else:
-                self.tell(i.Takers(o.volume, o.heads))
+            self.tell(o)
 
     def status(self) -> dict[str, Any]:
         s, now = self.sharer, time.monotonic()
--- a/fawnspool/interface.py
+++ b/fawnspool/interface.py
@@ -215,8 +215,8 @@
 
     node: int
     well: bool
-    pause: float                 # not well: seconds until this head's turn to try it
-    shut: bool                   # not well: it took no connection
+    pause: float = 0.0           # not well: seconds until this head's turn to try it
+    shut: bool = False           # not well: it took no connection
 
 
 Event = NodeList | Request | Begun | Outcome | ClientGone | Timer | Probed | PeerMessage | Takers | Hearsay
--- a/fawnspool/model/between.py
+++ b/fawnspool/model/between.py
@@ -6,7 +6,7 @@
 
 from fawnspool import interface as i
 from fawnspool.days.day import TroubleBlock
-from fawnspool.shared.judgements import SAID_MOST, Hearsay, doubts
+from fawnspool.shared.judgements import SAID_MOST, doubts
 from fawnspool.shared.messages import LEADING, Kind, Message, SaysRow, Verdict, pack, unpack
 from fawnspool.shared.sharer import Out, Sharer
 from fawnspool.shared.takers import Say
@@ -28,7 +28,7 @@
         self.liars: dict[int, Verdict] = {}         # what they say of every node, in place of what they share
         self.sent: dict[int, int] = {}
         self.bytes: dict[int, int] = {}
-        self.hearsay: list[tuple[float, int, Hearsay]] = []     # when, at which head
+        self.hearsay: list[tuple[float, int, i.Hearsay]] = []     # when, at which head
 
     def send(self, sender: int, head: _Head, body: bytes) -> None:
         w, r = self.world, self.random
@@ -127,11 +127,10 @@
         for o in out:
             if isinstance(o, Say):
                 w.peer(self.head.number, o.to, pack(o.message))
-            elif isinstance(o, Hearsay):
+                continue
+            if isinstance(o, i.Hearsay):
                 w.between.hearsay.append((w.engine.now, self.head.number, o))
-                self.head.tell(i.Hearsay(o.node, o.well, o.pause, o.shut))
-            else:
-                self.head.tell(i.Takers(o.volume, o.heads))
+            self.head.tell(o)
 
 
 def sharing(head: Any, seed: int) -> Sharing | None:
--- a/fawnspool/shared/judgements.py
+++ b/fawnspool/shared/judgements.py
@@ -22,7 +22,7 @@
 from random import Random
 from typing import Any
 
-from fawnspool.interface import Outcome, Result
+from fawnspool.interface import Hearsay, Outcome, Result
 from fawnspool.shared.messages import Kind, Message, SaysRow, Verdict, rows_of
 from fawnspool.shared.takers import Say
 from fawnspool.shared.terms import Terms
@@ -42,16 +42,6 @@
 HEARD_S = 10.0          # seconds for which a head counts as there since it was last heard
 
 
-@dataclass(frozen=True, slots=True)
-class Hearsay:
-    """For the module: the node is shunned now, with this head's turn to try it in `pause` seconds; or it is no more."""
-
-    node: int
-    well: bool
-    pause: float = 0.0
-    shut: bool = False      # it took no connection
-
-
 Out = Say | Hearsay
 _SHOWS = {Result.SERVED: Verdict.WELL, Result.FULL: Verdict.WELL, Result.TIMED_OUT: Verdict.SILENT,
           Result.UNREACHED: Verdict.SHUT, Result.BROKEN: Verdict.SILENT}
--- a/fawnspool/shared/sharer.py
+++ b/fawnspool/shared/sharer.py
@@ -8,10 +8,10 @@
 from collections.abc import Iterable
 from random import Random
 
-from fawnspool.interface import Outcome
-from fawnspool.shared.judgements import Hearsay, Judge, shows
+from fawnspool.interface import Hearsay, Outcome, Takers
+from fawnspool.shared.judgements import Judge, shows
 from fawnspool.shared.messages import Kind, Message, Verdict
-from fawnspool.shared.takers import Say, Table, Takers
+from fawnspool.shared.takers import Say, Table
 from fawnspool.shared.terms import Terms
 
 Out = Say | Takers | Hearsay
--- a/fawnspool/shared/takers.py
+++ b/fawnspool/shared/takers.py
@@ -10,6 +10,7 @@
 from dataclasses import dataclass, field
 from random import Random
 
+from fawnspool.interface import Takers
 from fawnspool.shared.counts import Count, Interval, Mark
 from fawnspool.shared.messages import CountRow, Kind, Message, rows_of
 from fawnspool.shared.terms import ROWS_A_LOOK, Terms
@@ -28,14 +29,6 @@
     message: Message
 
 
-@dataclass(frozen=True, slots=True)
-class Takers:
-    """Other heads that take part in a volume, as far as this one knows."""
-
-    volume: int
-    heads: tuple[int, ...]
-
-
 Out = Say | Takers
 
 
--- a/tests/e2e/doctored.py
+++ b/tests/e2e/doctored.py
@@ -2,6 +2,7 @@
 the judge must find it."""
 from __future__ import annotations
 
+import errno
 import sys
 import time
 from collections.abc import Callable
@@ -82,6 +83,17 @@
     moving.Gate.passes = passes                             # type: ignore[method-assign]
 
 
+def full_disk() -> None:
+    """A voter whose disk is full from some seconds after its start on."""
+    real, began = votefile.VoteFile.keep, time.monotonic()
+
+    def keep(self: Any, what: Any) -> None:
+        if time.monotonic() - began > 4.0:
+            raise OSError(errno.ENOSPC, "No space left on device")
+        real(self, what)
+    votefile.VoteFile.keep = keep                           # type: ignore[method-assign]
+
+
 def wrong_place() -> None:
     """A holder that begins with what has moved already: now these, now those cells are to be drained for it."""
     real = works.Works._wishes
@@ -128,7 +140,7 @@
 
 
 HOW: dict[str, Callable[[], None]] = {f.__name__: f for f in (
-    ignores_end, no_token, forgets_votes, votes_twice, forgets_fence, wrong_place, keeps_lent, late_units,
+    ignores_end, no_token, forgets_votes, votes_twice, forgets_fence, wrong_place, full_disk, keeps_lent, late_units,
     hearsay_alone)}
 
 if __name__ == "__main__":
--- a/tests/e2e/test_duties.py
+++ b/tests/e2e/test_duties.py
@@ -68,6 +68,51 @@
     raise AssertionError("no step came late in three plays")
 
 
+class _Clocks(Play):
+    """Clocks of heads run at `rates`, by number; others as they should."""
+
+    rates: dict[int, float] = {}  # noqa: RUF012  # set by each test
+
+    def _head_config(self, k: int, *args: Any) -> Any:
+        c = super()._head_config(k, *args)
+        return replace(c, duties=replace(c.duties, clock_rate=self.rates.get(k, 1.0)))
+
+
+def test_clocks_within_the_bound_break_nothing(tmp_path: Path) -> None:
+    class Within(_Clocks):
+        rates = {0: 1.009, 1: 0.991, 2: 1.0, 3: 0.991, 4: 1.009}  # noqa: RUF012
+
+    result = play(tmp_path, trouble("duty_cut", length=3.0, every=1.5, size=1.2), kind=Within)
+    assert not [t for t in broken(result) if "still lie" not in t], broken(result)
+
+
+def test_a_clock_far_outside_the_bound_breaks_leases_and_no_fence(tmp_path: Path) -> None:
+    """Heads whose clocks run at half speed hold on when they are cut off. Which head is cut is drawn, so three plays at
+    most."""
+    class Slow(_Clocks):
+        rates = {3: 0.5, 4: 0.5}  # noqa: RUF012
+
+    for k in range(3):
+        result = play(tmp_path / str(k), trouble("duty_cut", length=3.5, every=0.9, size=2.0), kind=Slow)
+        found = broken(result)
+        assert not [t for t in found if t.startswith("place") or "was given token" in t or "times" in t], found
+        if [t for t in found if "hold it for" in t]:
+            return
+    raise AssertionError("no two heads held one duty in three plays")
+
+
+def test_full_disks_under_all_voters_rest_duties_and_nothing_else(tmp_path: Path) -> None:
+    """Votes that can't be kept are not given; what is held goes on being renewed; requests go on."""
+    result = play(tmp_path, trouble("duty_kill", at=5.0, length=2.0, every=9.0, down=0.5),
+                  head_command=("full_disk", "serve"), head_module="tests.e2e.doctored")
+    story = read(rows_of(tmp_path))
+    late = [r for r in story.duties if r["what"] == "took" and r["t"] > story.first + 8.0]
+    assert not late and [r for r in story.duties if r["what"] == "until" and r["t"] > story.first + 9.0]
+    assert not [t for t in broken(result) if "still lie" not in t], broken(result)
+    assert "votes can't be kept" in "".join(p.read_text() for p in tmp_path.glob("head-*.log"))
+    assert result.service.whole.in_time > 0.8 * result.service.whole.asked
+
+
 @pytest.mark.parametrize("head, node, troubles, text", [
     ("ignores_end", "", (trouble("duty_cut", length=1.0, every=9.0, size=3.0),), "after a newer holder had"),
     ("no_token", "", (), "without a token"),
--- a/tests/e2e/test_shared.py
+++ b/tests/e2e/test_shared.py
@@ -4,15 +4,18 @@
 import json
 import subprocess
 import sys
+import time
 from dataclasses import replace
 from pathlib import Path
 from typing import Any
 
+import gevent.subprocess
 import pytest
 
 from fawnspool.config.schema import load
 from fawnspool.days.day import Day, TroubleBlock, check
 from fawnspool.drill.play import Play, Result
+from fawnspool.net.client import Pool, call
 from fawnspool.records.frames import rows_of
 from fawnspool.rules.story import read
 
@@ -46,6 +49,40 @@
     assert next(f for f in result.verdict.findings if f.rule == "limits kept").nearest > 0.1
 
 
+class _Asked(Play):
+    """A person asks a head while the day is played."""
+
+    shown: Any = None
+    lines: str = ""
+    metrics: str = ""
+
+    def _do_lead_moves(self, x: TroubleBlock, cells: Any, heads: Any) -> None:
+        where = f"127.0.0.1:{self.heads[0].port}"
+        cli = [sys.executable, "-m", "fawnspool.cli"]
+        self.shown = json.loads(gevent.subprocess.check_output([*cli, "shared", "show", where, "--json"]))
+        self.lines = gevent.subprocess.check_output([*cli, "shared", "show", where]).decode()
+        self.lines += gevent.subprocess.check_output([*cli, "status", where]).decode()
+        _, body = call(Pool(("127.0.0.1", self.heads[0].port), 1, 1.0, 1.0), b"GET", b"/-/metrics",
+                       time.monotonic() + 2.0)
+        self.metrics = body.decode()
+
+
+def test_what_a_person_is_shown(tmp_path: Path) -> None:
+    day = load(FILE, Day, check)
+    played = _Asked(replace(day, trouble=(*day.trouble, trouble("head_lies", at=1.0, part=0.17, size=0.0))), FILE,
+                    tmp_path, 1)
+    played.run()
+    assert played.shown["heads"] == 6 and not played.shown["alone"] and played.shown["strangers"] == 0
+    rows = [r for r in played.shown["volumes"] if r["heads"] > 1]
+    assert rows and any(r["used_at_least"] > 0 for r in rows)
+    assert all((r["used_at_most"] is None) == (r["unheard"] > 0) for r in rows)
+    assert all(r["used_at_most"] is None or r["used_at_most"] > r["used_at_least"] for r in rows)
+    assert any(e["signs"] == 9 for n in played.shown["nodes"] for e in n["evidence"])     # the liar's
+    assert "6 heads are there" in played.lines and "Nodes that anything is said of" in played.lines
+    assert "nodes shunned on hearsay" in played.lines
+    assert "fawnspool_shared_heads 6.0" in played.metrics and "fawnspool_shared_alone 0.0" in played.metrics
+
+
 @pytest.mark.parametrize("head, troubles, rule", [
     ("keeps_lent", (), "limits kept"),
     ("hearsay_alone", (trouble("head_lies", at=1.0, length=7.0, part=0.17, size=0.0),), "well nodes used"),
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -47,6 +47,7 @@
     (("serve",), 2, "either a CONFIG file or --embedded"),
     (("status", "127.0.0.1:1"), 3, "can't be reached"),
     (("status", "nowhere"), 2, "expected an address"),
+    (("shared", "show", "127.0.0.1:1"), 3, "can't be reached"),
     (("drill", "run", "no-such-day"), 2, "there is no day"),
     (("replay", EMBEDDED), 2, "no recording"),
     (("rules", "check", EMBEDDED, "--day", EMBEDDED), 2, "not known here"),
--- a/tests/test_shared.py
+++ b/tests/test_shared.py
@@ -9,12 +9,12 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from fawnspool.interface import Outcome, Result
+from fawnspool.interface import Hearsay, Outcome, Result, Takers
 from fawnspool.shared.counts import HEADS_MOST, LIVES, Count, Mark
-from fawnspool.shared.judgements import Hearsay, Judge, shows
+from fawnspool.shared.judgements import Judge, shows
 from fawnspool.shared.messages import CountRow, Kind, Message, SaysRow, Unread, Verdict, pack, rows_of, unpack
 from fawnspool.shared.sharer import Sharer
-from fawnspool.shared.takers import VOLUMES_MOST, Say, Table, Takers
+from fawnspool.shared.takers import VOLUMES_MOST, Say, Table
 from fawnspool.shared.terms import ROWS_A_LOOK, Terms
 
 # ------------------------------------------------------------ counts
