--- a/fawnspool/config/head.py
+++ b/fawnspool/config/head.py
@@ -180,11 +180,13 @@
 class SharedBlock:
     """What heads tell each other of volumes and nodes, the same at all heads. every: between two looks at what there
     is to say; fades: after so long what was heard of a node counts no more; shun: part of the nodes that a head may
-    shun on others' evidence, at most."""
+    shun on others' evidence, at most; quorum: part of all heads that must have found one bad, more than may be
+    wrong."""
 
     every: float = spec(0.25, kind="time", low=0.02)
     fades: float = spec(4.0, kind="time", low=0.5)
     shun: float = spec(0.25, low=0, high=0.5)
+    quorum: float = spec(0.25, low=0.01, high=1)
 
 
 @dataclass(frozen=True)
--- a/fawnspool/head/shared.py
+++ b/fawnspool/head/shared.py
@@ -24,7 +24,7 @@
 
 def terms_of(config: SharedBlock, heads: int) -> Terms:
     """What all heads agree on. Numbers are passed on as written."""
-    return Terms(heads, config.every, config.fades, config.shun)
+    return Terms(heads, config.every, config.fades, config.shun, config.quorum)
 
 
 class Sharing:
--- a/fawnspool/model/between.py
+++ b/fawnspool/model/between.py
@@ -93,7 +93,7 @@
         s = head.config.shared
         assert s is not None
         w = self.world
-        terms = Terms(w.day.day.heads, s.every, s.fades, s.shun)
+        terms = Terms(w.day.day.heads, s.every, s.fades, s.shun, s.quorum)
         self.sharer = Sharer(terms, head.number, head.life, seed, w.engine.now)
         self._again()
 
--- a/fawnspool/shared/terms.py
+++ b/fawnspool/shared/terms.py
@@ -16,12 +16,14 @@
 @dataclass(frozen=True)
 class Terms:
     """heads: in the fleet, by number from 0. every: seconds between two looks. fades: seconds after which what was
-    heard is no evidence any more. shun: part of the nodes that may be shunned on hearsay, at most."""
+    heard is no evidence any more. shun: part of the nodes that may be shunned on hearsay, at most. quorum: part of the
+    heads that must find a node bad; more than may be wrong at once, or lie."""
 
     heads: int
     every: float = 0.25
     fades: float = 4.0
     shun: float = 0.25
+    quorum: float = 0.25
 
     @cached_property
     def mark(self) -> int:
