--- a/fawnspool/shared/judgements.py
+++ b/fawnspool/shared/judgements.py
@@ -3,8 +3,8 @@
 A head says what it found itself, and passes on what others found, each with whose it is and how old. A node is shunned
 on hearsay only where
 
-    two heads at least, and `Terms.quorum` of all that there are by the settings (not of those that are heard: in a large
-    fleet these are few, and whoever says the most is among them), found it bad lately and say nothing better since,
+    two heads at least, and `Terms.quorum` of all that there are by the settings (not of those that are heard: in a
+    large fleet these are few, and whoever says the most is among them), found it bad lately and say nothing better,
     with signs enough also without the one that says the most,
     more of them than found it well after their first finding,
     this head has no later good answer of its own, or one of just now, and
