Confirm no vote that is not on disk; take no answer after a stop for a hold

Seen: the new test of full disks under all voters (processes): a duty was taken though no vote could be kept. Followed in voter.py: a vote whose Keep fails stays promised in memory; asked again for the same claim it was a renewal, granted with nothing to keep, so it was said and a restart forgot it. The same of a learned floor: a later vote that could be kept made the file look whole without it. At fault: Voter._asked, _learned. Now who keeps says so (`kept`), and until then each further yes asks for the vote, and the floor, to be kept again.

At fault: Holder._granted looked whether the new claim lasts longer than the old, not whether it lasts. The step itself was never done (the work looks at the clock), but the record said that two held it.

--- a/benchmarks/duties_walks.py
+++ b/benchmarks/duties_walks.py
@@ -53,6 +53,8 @@
             lost_until = d.engine.now + 3.0
         elif what < 0.65 and host.up and not host.stopped:
             d.end(host)
+        elif what < 0.72:
+            host.full = not host.full
         else:
             for h in d.hosts:
                 if not h.up:
@@ -62,6 +64,7 @@
     d.cut.clear()
     d.net = Net()
     for h in d.hosts:
+        h.full = False
         if not h.up:
             d.start(h)
         elif h.stopped:
--- a/fawnspool/duties/holder.py
+++ b/fawnspool/duties/holder.py
@@ -163,7 +163,8 @@
             h.claim = h.claim.granted(voter, asked)
         elif h.next is not None and r.token == h.next.token:
             h.next = h.next.granted(voter, asked)
-            if h.next.end(self.terms.majority, self.terms.span) > self._end(h):
+            # Answers may be read only after a stop: what they gave is over then, and nothing is held under it.
+            if h.next.end(self.terms.majority, self.terms.span) > max(self._end(h), now):
                 h.claim, h.next, h.above = h.next, None, False
                 self.events.append(Took(r.duty, h.claim.token))
         if not h.holding and self._end(h) - self.terms.margin > now:
--- a/fawnspool/duties/voter.py
+++ b/fawnspool/duties/voter.py
@@ -5,7 +5,9 @@
 not rest on any of it: only on the seats (`vote.py`).
 
 What is out is in order: a `Keep` must be on disk before what follows it is said. Where it can't be kept, nothing that
-follows is said, and the seat stays promised all the same: that is only more careful.
+follows is said, and the seat stays promised all the same: that is only more careful. Whoever keeps says so (`kept`);
+until then each further yes to the same claim asks for it to be kept again, or it would be said of a vote that a restart
+forgets.
 """
 from __future__ import annotations
 
@@ -99,6 +101,10 @@
         self.free_since: dict[int, float] = {}
         self.strangers = self.grants = self.refusals = 0
         self.disk_failed = False                # set by who keeps: the last `Keep` could not be
+        # Votes that are not known to be on disk (duty, token and who), and is what it learned? Before that no vote may
+        # be there, or the file would look whole.
+        self.unkept: dict[int, tuple[int, int]] = {}
+        self.floor_unkept = False
         self.looks: list[tuple[float, int]] = []        # a heap; what is not the duty's `next_look` is passed over
         self.next_look: dict[int, float] = {}
         for duty in range(len(terms.names)):
@@ -166,6 +172,8 @@
                 self.grants += 1
                 self.free_since.pop(r.duty, None)
                 if (seat.token, seat.who) != (old.token, old.who):
+                    self.unkept[r.duty] = (seat.token, seat.who)
+                if r.duty in self.unkept:
                     keep.append((r.duty, seat.token, seat.who))
             else:
                 self.refusals += 1
@@ -176,7 +184,15 @@
         if not rows:
             return []
         told = self._say(sender, Kind.TOLD, m, tuple(rows), self._takers(now))
-        return [Keep(tuple(keep)), told] if keep else [told]
+        return [Keep(tuple(keep), self.floor if self.floor_unkept else -1), told] if keep or self.floor_unkept \
+            else [told]
+
+    def kept(self, keep: Keep) -> None:
+        """It is on disk."""
+        self.floor_unkept &= keep.floor < self.floor
+        for duty, token, who in keep.rows:
+            if self.unkept.get(duty) == (token, who):
+                del self.unkept[duty]
 
     def _freed(self, now: float, m: Message) -> list[Out]:
         for r in m.rows:
@@ -213,7 +229,7 @@
         floor = vote.learned(learning.said, len(self.terms.voters))
         if floor is None:
             return []
-        self.floor, self.learning = floor, None
+        self.floor, self.learning, self.floor_unkept = floor, None, True
         return [Keep((), floor)]
 
     # ------------------------------------------------------------ time
--- a/fawnspool/head/duties.py
+++ b/fawnspool/head/duties.py
@@ -164,11 +164,13 @@
         pool = gevent.get_hub().threadpool
         while True:
             out = self.to_keep.get()
+            assert self.voter is not None
             try:
                 for o in out:
                     if isinstance(o, Keep):
                         assert self.file is not None
                         pool.apply(self.file.keep, (o,))
+                        self.voter.kept(o)
                     else:
                         self._say([o])
                 self._disk(False, "")
--- a/fawnspool/model/duties.py
+++ b/fawnspool/model/duties.py
@@ -44,6 +44,7 @@
     voter: Any = None
     disk: dict[int, tuple[int, int]] = field(default_factory=dict)
     floor: int = -1                     # -1: the disk is empty
+    full: bool = False                  # nothing can be kept, and nothing that follows is said
     inbox: list[tuple[int, Message]] = field(default_factory=list)
     wakes: float = float("inf")
     sent: int = 0
@@ -153,8 +154,11 @@
     def _out(self, host: Host, out: list[Out]) -> None:
         for o in out:
             if isinstance(o, Keep):
+                if host.full:
+                    return
                 host.disk |= {duty: (token, who) for duty, token, who in o.rows}
                 host.floor = max(host.floor, o.floor, 0 if o.rows else -1)
+                host.voter.kept(o)
             else:
                 self._send(host, o.to, o.message)
 
--- a/tests/test_duties.py
+++ b/tests/test_duties.py
@@ -85,12 +85,70 @@
     keep, said = v.hear(100.0, 3, asks(2, 5))
     assert keep == Keep(((2, 5, 7),)) and isinstance(said, Say) and said.message.rows[0].verdict == Verdict.GRANTED
     assert said.message.who == 7                    # no other life of that head may take it for its own
+    v.kept(keep)
     (again,) = v.hear(100.5, 3, asks(2, 5))
     assert isinstance(again, Say)
     assert v.hear(100.5, 3, asks(2, 6, mark=T.mark ^ 1)) == [] and v.strangers == 1
     assert v.hear(100.5, 3, asks(9999, 6)) == [] and v.hear(100.5, 3, asks(2, 0)) == []
 
 
+def test_a_vote_that_could_not_be_kept_is_asked_to_be_kept_again_before_it_is_confirmed() -> None:
+    """A full disk: the second asking of the same claim was granted with nothing on disk, and a restart gave the vote
+    to another under a token that had counted (18 walks of 200)."""
+    v = voter()
+    keep, _ = v.hear(100.0, 3, asks(2, 5))
+    for t in (100.2, 100.4):                        # nobody said that it was kept
+        first, said = v.hear(t, 3, asks(2, 5))
+        assert first == keep and isinstance(said, Say)
+    v.kept(Keep(((2, 4, 7),)))                      # an older one was
+    assert len(v.hear(100.5, 3, asks(2, 5))) == 2
+    v.kept(keep)
+    assert len(v.hear(100.6, 3, asks(2, 5))) == 1
+
+
+def test_what_a_voter_learned_is_kept_with_its_next_vote_where_it_could_not_be_before() -> None:
+    """Else the file holds votes and no floor, and looks whole to the next life."""
+    v = voter(memory=None)
+    floor = next(o.message for o in v.tick(102.0) if isinstance(o, Say))
+    for sender in (1, 2):
+        out = v.hear(102.1, sender, Message(Kind.KNOWN, T.mark, floor.who, floor.serial, 1, 0, (Row(0, 9),)))
+    assert v.voting and v.floor == 9 and out in ([], [Keep((), 9)])
+    keep, _ = v.hear(102.2, 3, asks(2, 10))
+    assert keep == Keep(((2, 10, 7),), 9)
+    v.kept(keep)
+    assert v.hear(102.3, 3, asks(3, 10))[0] == Keep(((3, 10, 7),))
+
+
+def test_an_answer_that_is_read_after_a_stop_gives_nothing_that_is_over() -> None:
+    """Seen in a walk: a head that had stood still for two leases said that it took a duty under a higher token."""
+    h = Holder(T, 3, 7, 1, 100.0)
+
+    def told(now: float, voter: int, serial: int, token: int, verdict: Verdict = Verdict.GRANTED) -> None:
+        h.hear(now, voter, Message(Kind.TOLD, T.mark, 7, serial, 5, 0, (Row(2, token, verdict),)))
+
+    call = Message(Kind.CALL, T.mark, 99, rows=(Row(2, 0),))
+    asked = [o.message for o in h.hear(100.0, 0, call) if isinstance(o, Say)]
+    for v in (0, 1):
+        told(100.01, v, asked[0].serial, 1)
+    told(100.02, 2, asked[0].serial, 5, Verdict.REFUSED)        # this voter has promised a higher one to nobody now
+    now, higher = 100.0, None
+    while higher is None:
+        now += T.renew
+        for o in h.tick(now):
+            if isinstance(o, Say) and o.to == 0 and o.message.kind is Kind.ASK:
+                if o.message.rows[0].token > 1:
+                    higher = o.message
+                else:
+                    for v in (0, 1):
+                        told(now, v, o.message.serial, 1)
+        assert now < 110
+    h.events.clear()
+    for v in (0, 1):
+        told(now + 2 * T.lease, v, higher.serial, higher.rows[0].token)
+    assert not [e for e in h.events if isinstance(e, Took)]
+    assert walk(32)[0] == []
+
+
 def test_a_voter_without_memory_is_silent_for_a_lease_then_asks_and_heeds_what_it_hears() -> None:
     v = voter(memory=None)
     (told,) = v.hear(100.1, 3, asks(2, 5))
