--- a/benchmarks/duties_days.py
+++ b/benchmarks/duties_days.py
@@ -2,14 +2,18 @@
 
     python -m benchmarks.duties_days faults [SEEDS] [AT ONCE] [HEADS]     all duty days: breaches, hand-overs by cause
     python -m benchmarks.duties_days worth [SEEDS]                the same day with duties off, idle, draining
+    python -m benchmarks.duties_days idle [SECONDS]               no fault, all cores busy: hand-overs without a cause
     python -m benchmarks.duties_days baselines                    a lease without a fence, a fence without a lease
 """
 from __future__ import annotations
 
 import json
+import multiprocessing
+import os
 import subprocess
 import sys
 import tempfile
+import time
 from collections import defaultdict
 from concurrent.futures import ThreadPoolExecutor
 from dataclasses import replace
@@ -83,6 +87,32 @@
         print(f"{name}: {', '.join(f'{x:.4f}' for x in shares)}; {sum(shares) / len(shares):.4f}")
 
 
+def _spin(seconds: float) -> None:
+    end = time.monotonic() + seconds
+    while time.monotonic() < end:
+        sum(range(1000))
+
+
+def idle(seconds: int) -> None:
+    """No trouble for so long, while as many processes as there are cores do nothing but count."""
+    day = load("days/duty-kill.hcl", Day, check)
+    day = replace(day, trouble=(), day=replace(day.day, length=float(seconds)), load=replace(day.load, rate=10.0))
+    busy = [multiprocessing.Process(target=_spin, args=(seconds + 10,)) for _ in range(os.cpu_count() or 1)]
+    with tempfile.TemporaryDirectory() as folder:
+        path = Path(folder) / "idle.hcl"
+        path.write_text(render(day))
+        for process in busy:
+            process.start()
+        said = played(str(path), 1)
+        for process in busy:
+            process.kill()
+    d = said["duties"]
+    print(f"{seconds} s, {os.cpu_count()} cores busy: {d['handed_over']} hand-overs, "
+          f"{d['without_cause']} without a cause, "
+          f"{d['relieved']} passed on; rules {'kept' if said['kept'] else 'BROKEN'}; noise {said['allowance_ms']} ms, "
+          f"worth {said['whole']['share']:.3f}")
+
+
 def baselines() -> None:
     from fawnspool.drill.play import Play
     arms = (("lease and fence", "", ""), ("a lease without a fence", "", "forgets_fence"),
@@ -109,6 +139,8 @@
         faults(number, int(sys.argv[3]) if len(sys.argv) > 3 else 1, int(sys.argv[4]) if len(sys.argv) > 4 else 5)
     elif what == "worth":
         worth(number)
+    elif what == "idle":
+        idle(int(sys.argv[2]) if len(sys.argv) > 2 else 600)
     else:
         baselines()
 
