--- a/fawnspool/shared/judgements.py
+++ b/fawnspool/shared/judgements.py
@@ -37,7 +37,7 @@
 ORIGINS_MOST = 256      # heads whose evidence is kept of one node, the latest: well over any quorum, or none is reached
 MENDED = 2              # heads that found a shunned node well: one answer may be a lie, or chance
 ASKED = 3               # heads that try at once where one found a shunned node well
-TRIES_S = 4.0           # of the whole fleet a second at a node that is shunned
+TRIES_S = 2.0           # of the whole fleet a second at a node that is shunned
 HEARD_S = 10.0          # seconds for which a head counts as there since it was last heard
 
 
--- a/tests/test_shared.py
+++ b/tests/test_shared.py
@@ -406,7 +406,7 @@
     for heads in (6, 60):
         f = Fleet(heads)
         pauses = [f.judges[0]._turn(f.now) for _ in range(200)]
-        assert sum(pauses) / 200 == pytest.approx(heads / 4.0, rel=0.2)
+        assert sum(pauses) / 200 == pytest.approx(heads / 2.0, rel=0.2)
 
 
 def test_evidence_is_of_a_bounded_size_however_much_there_is() -> None:
