--- a/benchmarks/duties_days.py
+++ b/benchmarks/duties_days.py
@@ -1,15 +1,19 @@
 """Duties on real processes: the days under faults over seeds, what they cost, and what lease or fence alone would give.
 
-    python -m benchmarks.duties_days faults [SEEDS] [AT ONCE]     all duty days: breaches, hand-overs by cause
+    python -m benchmarks.duties_days faults [SEEDS] [AT ONCE] [HEADS]     all duty days: breaches, hand-overs by cause
     python -m benchmarks.duties_days worth [SEEDS]                the same day with duties off, idle, draining
+    python -m benchmarks.duties_days idle [SECONDS]               no fault, all cores busy: hand-overs without a cause
     python -m benchmarks.duties_days baselines                    a lease without a fence, a fence without a lease
 """
 from __future__ import annotations
 
 import json
+import multiprocessing
+import os
 import subprocess
 import sys
 import tempfile
+import time
 from collections import defaultdict
 from concurrent.futures import ThreadPoolExecutor
 from dataclasses import replace
@@ -32,10 +36,19 @@
     return said
 
 
-def faults(seeds: int, at_once: int) -> None:
+def faults(seeds: int, at_once: int, heads: int) -> None:
     runs = [(day, seed) for day in DAYS for seed in range(1, seeds + 1)]
-    with ThreadPoolExecutor(at_once) as pool:
-        rows = list(pool.map(lambda run: played(*run), runs))
+    with tempfile.TemporaryDirectory() as folder:
+        for name in DAYS:
+            day = load(f"days/{name}.hcl", Day, check)
+            assert day.duties is not None
+            if heads != day.day.heads:      # from 12 heads on five of them vote
+                voters = tuple(range(5 if heads >= 12 else 3))
+                day = replace(day, day=replace(day.day, heads=heads), duties=replace(day.duties, voters=voters))
+            (Path(folder) / f"{name}.hcl").write_text(render(day))
+        with ThreadPoolExecutor(at_once) as pool:
+            rows = list(pool.map(lambda run: played(str(Path(folder) / f"{run[0]}.hcl"), run[1]), runs))
+    print(f"{heads} heads")
     print("day: runs, kept, moved, left, fenced, hand-overs, without cause, worth; by cause: count, p50, p99, worst s")
     for day in DAYS:
         mine = [row for (name, _), row in zip(runs, rows, strict=True) if name == day]
@@ -74,6 +87,32 @@
         print(f"{name}: {', '.join(f'{x:.4f}' for x in shares)}; {sum(shares) / len(shares):.4f}")
 
 
+def _spin(seconds: float) -> None:
+    end = time.monotonic() + seconds
+    while time.monotonic() < end:
+        sum(range(1000))
+
+
+def idle(seconds: int) -> None:
+    """No trouble for so long, while as many processes as there are cores do nothing but count."""
+    day = load("days/duty-kill.hcl", Day, check)
+    day = replace(day, trouble=(), day=replace(day.day, length=float(seconds)), load=replace(day.load, rate=10.0))
+    busy = [multiprocessing.Process(target=_spin, args=(seconds + 10,)) for _ in range(os.cpu_count() or 1)]
+    with tempfile.TemporaryDirectory() as folder:
+        path = Path(folder) / "idle.hcl"
+        path.write_text(render(day))
+        for process in busy:
+            process.start()
+        said = played(str(path), 1)
+        for process in busy:
+            process.kill()
+    d = said["duties"]
+    print(f"{seconds} s, {os.cpu_count()} cores busy: {d['handed_over']} hand-overs, "
+          f"{d['without_cause']} without a cause, "
+          f"{d['relieved']} passed on; rules {'kept' if said['kept'] else 'BROKEN'}; noise {said['allowance_ms']} ms, "
+          f"worth {said['whole']['share']:.3f}")
+
+
 def baselines() -> None:
     from fawnspool.drill.play import Play
     arms = (("lease and fence", "", ""), ("a lease without a fence", "", "forgets_fence"),
@@ -97,9 +136,11 @@
     what = sys.argv[1] if len(sys.argv) > 1 else "faults"
     number = int(sys.argv[2]) if len(sys.argv) > 2 else 5
     if what == "faults":
-        faults(number, int(sys.argv[3]) if len(sys.argv) > 3 else 1)
+        faults(number, int(sys.argv[3]) if len(sys.argv) > 3 else 1, int(sys.argv[4]) if len(sys.argv) > 4 else 5)
     elif what == "worth":
         worth(number)
+    elif what == "idle":
+        idle(int(sys.argv[2]) if len(sys.argv) > 2 else 600)
     else:
         baselines()
 
