--- a/benchmarks/shared_days.py
+++ b/benchmarks/shared_days.py
@@ -1,6 +1,7 @@
 """Shared limits on real processes: days under faults over seeds, and what sharing gains on the same day and seeds.
 
     python -m benchmarks.shared_days faults [SEEDS] [AT ONCE] [HEADS]     all days: breaches, refused within limits
+    python -m benchmarks.shared_days cpu [SEEDS]      processor time of heads with and without sharing, side by side
     python -m benchmarks.shared_days gain [SEEDS] [AT ONCE]               even parts, today's lending, shared; by day
 """
 from __future__ import annotations
@@ -88,10 +89,33 @@
         print(f"{name}, {arm}: {worth / seeds:.4f}, {refused:.0f}, {within:.0f}, {within / asked:.4f}", flush=True)
 
 
+def cpu(seeds: int) -> None:
+    """A calm day within all limits, so that both arms serve the same."""
+    sums = {"lending": [0.0, 0], "shared": [0.0, 0]}
+    with tempfile.TemporaryDirectory() as folder:
+        for name, day in arms("shared-skew").items():
+            if name in sums:
+                plans = tuple(replace(p, limit=10 * p.limit, limit_depth=10 * p.limit_depth) for p in day.plan)
+                (Path(folder) / f"{name}.hcl").write_text(render(replace(day, plan=plans)))
+        for seed in range(1, seeds + 1):
+            with ThreadPoolExecutor(len(sums)) as pool:
+                rows = pool.map(lambda name: played(str(Path(folder) / f"{name}.hcl"), seed), sums)  # noqa: B023
+                for name, said in zip(sums, rows, strict=True):
+                    sums[name][0] += said["head_cpu_s"]
+                    sums[name][1] += said["whole"]["asked"]
+                    print(f"  {name}, seed {seed}: {said['head_cpu_s']} s of six heads, "
+                          f"{said['whole']['asked']} asked, worth {said['whole']['share']:.3f}", flush=True)
+    each = {name: seconds / asked * 1000 for name, (seconds, asked) in sums.items()}
+    print(f"ms a request: {', '.join(f'{n} {x:.3f}' for n, x in each.items())}; "
+          f"{each['shared'] / each['lending'] - 1:+.1%}")
+
+
 def main() -> None:
     what = sys.argv[1] if len(sys.argv) > 1 else "faults"
     numbers = [int(x) for x in sys.argv[2:]]
-    if what == "gain":
+    if what == "cpu":
+        cpu(*(numbers or [4]))
+    elif what == "gain":
         gain(*(numbers + [5, 4][len(numbers):]))
     else:
         faults(*(numbers + [5, 4, 6][len(numbers):]))
--- a/fawnspool/drill/fleet.py
+++ b/fawnspool/drill/fleet.py
@@ -78,6 +78,14 @@
     def _tail(self) -> str:
         return self.log.read_text(errors="replace")[-600:] if self.log.exists() else ""
 
+    def cpu(self) -> float:
+        """Seconds of processor time since its start; 0 where it has ended."""
+        try:
+            fields = Path(f"/proc/{self.child.pid}/stat").read_text().rpartition(")")[2].split()
+        except (AttributeError, OSError):
+            return 0.0
+        return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
+
     def signal(self, number: int) -> None:
         if self.child is not None and self.child.poll() is None:
             self.child.send_signal(number)
--- a/fawnspool/drill/play.py
+++ b/fawnspool/drill/play.py
@@ -57,6 +57,7 @@
     wrong: WrongSends | None = None         # where extents moved
     duties: DutyFinding | None = None       # where heads held some
     shared: SharedFinding | None = None
+    head_cpu: float = 0.0                   # seconds of processor time of all heads, from when all are up (no restarts)
 
 
 @dataclass
@@ -104,6 +105,7 @@
         self.drained: set[int] = set()
         self.to_leave: set[tuple[str, str]] = set()     # what lay in drained cells when that was asked for
         self.told_to_end: set[int] = set()
+        self.head_cpu = 0.0
 
     def note(self, kind: str, t: float | None = None, **more: Any) -> None:
         self.record.put({"k": kind, "t": time.monotonic() if t is None else t, **more})
@@ -121,6 +123,7 @@
         try:
             self._set_up()
             self.start = time.monotonic() + 1.5
+            self.head_cpu = -sum(head.cpu() for head in self.heads)     # their starts are not counted
             self._start_clients()
             for trouble in self.day.trouble:
                 wait = self.start + trouble.at - time.monotonic()
@@ -256,6 +259,7 @@
     def _tear_down(self) -> None:
         for k, head in enumerate(self.heads):
             self.note("head", head=k, what="ended")
+            self.head_cpu += head.cpu()
             head.signal(signal.SIGCONT)
             head.signal(signal.SIGTERM)
         for process in [*([self.clients] if self.clients else []), *self.heads, *(c.process for c in self.cells)]:
@@ -685,4 +689,5 @@
         shared = judge_shared(story, terms_of(self.day), self.day.day.heads)
         if self.day.shared is not None:
             verdict.findings.append(shared.used)
-        return Result(verdict, count(self.day, ops), ops, self.events, wrong, duties, shared)
+        return Result(verdict, count(self.day, ops), ops, self.events, wrong, duties, shared,
+                      self.head_cpu)
--- a/fawnspool/drill/report.py
+++ b/fawnspool/drill/report.py
@@ -50,6 +50,7 @@
             "moves": result.wrong.moves, "by_time": dict(zip(WRONG_COLUMNS, result.wrong.counts, strict=True)),
             "not_yet": result.wrong.not_yet, "latest_s": round(result.wrong.worst, 4)},
         "duties": None if result.duties is None else _duties(result.duties),
+        "head_cpu_s": round(result.head_cpu, 2),
         "shared": None if result.shared is None else {
             "asked": result.shared.asked, "refused": result.shared.refused, "within": result.shared.within,
             "share": round(result.shared.share, 4), "datagrams_s": round(result.shared.datagrams, 2),
