--- a/fawnspool/shared/judgements.py
+++ b/fawnspool/shared/judgements.py
@@ -83,7 +83,6 @@
         self.listed = 0
         self.heard: dict[int, float] = {}       # heads, when
         self.fresh: OrderedDict[tuple[int, int], int] = OrderedDict()       # (node, whose): tellings left; latest last
-        self.turned: int = 0                    # times a node was shunned on hearsay
 
     def _node(self, node: int) -> _Node:
         found = self.nodes.get(node)
@@ -126,10 +125,6 @@
                 now - mine.at >= 4 * self.terms.every:      # what all know already need not be said so often
             self._found(now, node, n, self.me, _Found(verdict, signs, now))
 
-    def gone(self, node: int) -> None:
-        """It is not on the list any more."""
-        self.nodes.pop(node, None)
-
     def _found(self, now: float, node: int, n: _Node, whose: int, what: _Found) -> None:
         n.found[whose] = what
         while len(n.found) > ORIGINS_MOST:
@@ -197,7 +192,6 @@
         if len(self.shunned()) + 1 > self.terms.shun * max(self.listed, 1):
             return []
         n.shunned = now
-        self.turned += 1
         return [self._shun(now, node, n)]
 
     def _shun(self, now: float, node: int, n: _Node, pause: float | None = None) -> Hearsay:
