--- a/benchmarks/shared_model.py
+++ b/benchmarks/shared_model.py
@@ -1,6 +1,7 @@
 """Shared limits in simulated time, with the real module and the heads' own sharer.
 
     python -m benchmarks.shared_model nodes [SEEDS]     a node that gives no answers: until it is left, and found again
+    python -m benchmarks.shared_model quorum [SEEDS]    the same with 190 heads and lower quorums
     python -m benchmarks.shared_model scale [SEEDS]     3, 30, 190 heads, of which none, a third, all hear nothing
     python -m benchmarks.shared_model cost              what it adds to a request
     python -m benchmarks.shared_model gain [SEEDS]      days by arm: even parts, lending alone, and shared
@@ -147,6 +148,20 @@
                       f"{max(r[3] for r in rows):.0f}; {sum(r[4] for r in rows)}; {mean[5]:.1f}", flush=True)
 
 
+def quorum(seeds: int) -> None:
+    print("fault, quorum, 190 heads: until a tenth of its share, until half of it again (means); worth; well nodes "
+          "shunned")
+    for kind in ("answers_lost", "refused"):
+        for part in (0.02, 0.05, 0.25):
+            day = bad_node(190, 45, 900.0, True, kind)
+            assert day.shared is not None
+            day = replace(day, shared=replace(day.shared, quorum=part))
+            with ProcessPoolExecutor() as pool:
+                rows = list(pool.map(_left, [(day, seed) for seed in range(1, seeds + 1)]))
+            left, back, worth = (sum(r[k] for r in rows) / len(rows) for k in range(3))
+            print(f"{kind}, {part:g}: {left:.2f}, {back:.2f}; {worth:.4f}; {sum(r[4] for r in rows)}", flush=True)
+
+
 def fleet(heads: int, nodes: int, rate: float, news: float, shared: bool) -> Day:
     """A fleet in which one head in five says that every node is dead, and `news` of the heads hear nothing of the
     others for 8 s; 1: nobody hears anybody."""
@@ -219,6 +234,8 @@
     numbers = [int(x) for x in sys.argv[2:]]
     if what == "gain":
         gain(*(numbers or [4]))
+    elif what == "quorum":
+        quorum(*(numbers or [3]))
     elif what == "scale":
         scale(*(numbers or [3]))
     elif what == "cost":
