--- a/fawnspool/control.py
+++ b/fawnspool/control.py
@@ -398,10 +398,13 @@
         lane.flows[job.req.volume].out += 1
         job.tries.append(_Attempt(lane.node, self.now))
         # Past its aim it only keeps others waiting at the node: nodes drop what is out of time, or stop it.
-        self.acts.append(Send(job.req.id, lane.node, max(job.wanted - self.now, self.look)))
+        self.acts.append(Send(job.req.id, lane.node, max(job.wanted - self.now, self.look), within))
 
     def _cold_room(self, lane: _Lane) -> bool:
         """May a node that may have just started be sent one more request by this head?
+        # A repeat that waits for its connection must not outlive the window in which nodes drop it.
+        doubt = job.doubt() if job.cls.effect is Effect.KEYED else []
+        within = doubt[0].sent + job.cls.window - 2 * self.s.tick - self.now if doubt else 0.0
 
         An answer gives its units back, so sends follow what the node does. Beyond that they grow by a part of
         what each head had served there (all together: what such a node bore): the warm part times half the
@@ -594,7 +597,7 @@
             return True
         if job.cls.effect is Effect.UNSAFE or node is None:
             return job.cls.effect is Effect.KEYED and job.cls.group is Group.ALL
-        if self.now + 2 * self.s.tick > doubt[0].sent + job.cls.window:
+        if self.now + 2 * self.s.tick >= doubt[0].sent + job.cls.window:
             return False
         if job.cls.group is Group.ALL or {t.node for t in doubt} == {node}:
             return True
--- a/fawnspool/head/attempts.py
+++ b/fawnspool/head/attempts.py
@@ -7,7 +7,7 @@
 from typing import Protocol
 
 from fawnspool.head.endings import Ending
-from fawnspool.head.pending import Answer, Attempt, Pending
+from fawnspool.head.pending import Answer, Attempt, Pending, State
 from fawnspool.net.client import Broken, Link, NoPlace, NotReached, Pool
 from fawnspool.net.http import BadMessage, Status
 from fawnspool.net.server import ClientLeft
@@ -68,12 +68,15 @@
     answer, told = None, None
     try:
         link = _connect(attempt, pool)
+        # What was true before the wait for a connection is a guess by now: nothing is written without a new look.
         if withdrawn(attempt.node):
             raise _Lost(Ending.WITHDRAWN)
-        if attempt.called_off:
+        if attempt.called_off or pending.state is State.SETTLED:
             raise _Lost(Ending.CALLED_OFF_UNSENT)
-        if time.monotonic() >= attempt.deadline:
+        if time.monotonic() >= attempt.write_until:
             raise _Lost(Ending.OUT_OF_TIME)
+        if pending.exchange is not None and pending.exchange.client_left():
+            raise _Lost(Ending.CLIENT_GONE)
         attempt.link = link
         _write(pending, attempt, link, speech)
         status = _status(attempt, link)
@@ -101,10 +104,12 @@
 
 def _connect(attempt: Attempt, pool: Pool) -> Link:
     try:
-        return pool.take(attempt.deadline)
+        return pool.take(attempt.write_until)
     except NotReached as bad:
         if attempt.called_off:
             raise _Lost(Ending.CALLED_OFF_UNSENT) from None
+        if time.monotonic() >= attempt.written_by:      # its window was too short to tell: no sign against the node
+            raise _Lost(Ending.OUT_OF_TIME) from None
         if isinstance(bad, NoPlace):
             raise _Lost(Ending.NO_PLACE) from None
         raise _Lost(Ending.CONNECT_TIMEOUT if "timed out" in str(bad) else Ending.REFUSED) from None
@@ -114,15 +119,15 @@
     body = pending.body
     if body.spent:
         raise _Lost(Ending.BODY_SPENT)
-    head = speech.head(pending, attempt)
+    head, until = speech.head(pending, attempt), attempt.write_until
     attempt.sent = True
     try:
         if body.rest is None:
-            link.send(head + body.start if body.start else head, attempt.deadline)
+            link.send(head + body.start if body.start else head, until)
             return
         body.spent = True       # the rest comes from the client once
         chunked = body.length is None
-        link.send(head + (_chunk(body.start) if chunked else body.start), attempt.deadline)
+        link.send(head + (_chunk(body.start) if chunked else body.start), until)
         while True:
             try:
                 piece = next(body.rest, None)
@@ -131,9 +136,9 @@
                 raise _Lost(Ending.BODY_LOST) from None
             if piece is None:
                 break
-            link.send(_chunk(piece) if chunked else piece, attempt.deadline)
+            link.send(_chunk(piece) if chunked else piece, until)
         if chunked:
-            link.send(b"0\r\n\r\n", attempt.deadline)
+            link.send(b"0\r\n\r\n", until)
     except TimeoutError:
         raise _Lost(Ending.CALLED_OFF_UNSENT if attempt.called_off else Ending.UNWRITTEN_TIMEOUT) from None
     except Broken:
--- a/fawnspool/head/core.py
+++ b/fawnspool/head/core.py
@@ -6,6 +6,7 @@
 """
 from __future__ import annotations
 
+import math
 import time
 from collections.abc import Callable
 from dataclasses import dataclass, replace
@@ -225,7 +226,8 @@
             return
         now = time.monotonic()
         limit = now + action.timeout if action.timeout > 0 else pending.deadline
-        attempt = Attempt(len(pending.attempts), action.node, now, min(limit, pending.deadline))
+        attempt = Attempt(len(pending.attempts), action.node, now, min(limit, pending.deadline),
+                          now + action.write_within if action.write_within > 0 else math.inf)
         if not pending.attempts:
             self.metrics.waited(pending.cls, now - pending.came)
         pending.attempts.append(attempt)
@@ -248,6 +250,8 @@
                 pending.cell = known.cell
         attempt.ending = outcome.ending
         self.loop.tell(lambda: self._ended(pending, attempt, outcome))
+        if outcome.ending is Ending.CLIENT_GONE:
+            self.give_up(pending)
 
     def _ended(self, pending: Pending, attempt: Attempt, outcome: Outcome) -> i.Outcome:
         """The attempt's outcome for the module, made in the loop's own turn, where answers are settled in order."""
--- a/fawnspool/head/endings.py
+++ b/fawnspool/head/endings.py
@@ -36,6 +36,7 @@
     BODY_SPENT = "the body is gone: too large to send again"
     BODY_LOST = "the client's body did not come whole"
     CLIENT_LEFT = "the client left while the answer was passed on"
+    CLIENT_GONE = "the client left before it was sent"
 
 
 RESULTS: dict[Ending, Result] = {
@@ -61,5 +62,6 @@
     Ending.BODY_SPENT: Result.MOOT,
     Ending.BODY_LOST: Result.MOOT,
     Ending.CLIENT_LEFT: Result.CANCELLED,
+    Ending.CLIENT_GONE: Result.MOOT,
 }
 NEVER_RAN = frozenset(e for e, r in RESULTS.items() if r in (Result.FULL, Result.UNREACHED, Result.MOOT))
--- a/fawnspool/head/pending.py
+++ b/fawnspool/head/pending.py
@@ -7,6 +7,7 @@
 """
 from __future__ import annotations
 
+import math
 from collections.abc import Iterator
 from dataclasses import dataclass, field
 from enum import Enum
@@ -60,11 +61,16 @@
     node: int
     began: float
     deadline: float
+    written_by: float = math.inf    # it must be wholly written by then, or not at all
     link: Any = None
     called_off: bool = False
     sent: bool = False       # some of it was handed to the kernel
     ending: Ending | None = None
 
+    @property
+    def write_until(self) -> float:
+        return min(self.deadline, self.written_by)
+
 
 @dataclass(slots=True, eq=False)
 class Pending:
--- a/fawnspool/interface.py
+++ b/fawnspool/interface.py
@@ -230,6 +230,7 @@
     id: int
     node: int
     timeout: float = 0.0         # 0: until the client gives up
+    write_within: float = 0.0    # it must be wholly written within so long, or not at all; 0: no such bound
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/e2e/relayrig.py
+++ b/tests/e2e/relayrig.py
@@ -1,11 +1,15 @@
 """A live head with stand-in shelfs and discovery in one process on loopback."""
 from __future__ import annotations
 
+import contextlib
 import json
+import socket as std
+from collections.abc import Callable
 from pathlib import Path
 from typing import Any
 
 from gevent import socket
+from gevent.server import StreamServer
 
 from fawnspool.relay.config import load
 from fawnspool.relay.program import Program
@@ -39,6 +43,7 @@
     """Two shelfs, one block each, and a head that knows them from its configuration."""
 
     def __init__(self, tmp: Path, sockets: int = 256, **settings: Any) -> None:
+        """settings: in place of the usual ones, a whole block each."""
         self.path = tmp / "config.json"
         self.sockets, self.settings = sockets, SETTINGS | settings
         self.shelfs = [Shelf(0), Shelf(1)]
@@ -91,3 +96,52 @@
     """A request as a client would write it."""
     head = f"{method} {target} HTTP/1.1\r\nHost: h\r\n" + "".join(f"{k}: {v}\r\n" for k, v in rows.items())
     return head.encode() + (b"Content-Length: %d\r\n" % len(body) if body else b"") + b"\r\n" + body
+
+
+class RawDiscovery:
+    """Discovery as `script(number, sock, target)` plays it, one call for each connection that asked something: for
+    bytes that no sound service would send, at the moments that a test chooses. A script that returns leaves the
+    connection open."""
+
+    def __init__(self, script: Callable[[int, Any, str], None]) -> None:
+        self.script, self.asked = script, list[str]()
+        self.socks: list[Any] = []
+        self.server = StreamServer(("127.0.0.1", 0), self._serve)
+        self.server.start()
+
+    @property
+    def address(self) -> str:
+        return f"127.0.0.1:{self.server.server_port}"
+
+    def _serve(self, sock: Any, peer: Any) -> None:
+        self.socks.append(sock)
+        said = b""
+        while b"\r\n\r\n" not in said:
+            part = sock.recv(4096)
+            if not part:
+                return
+            said += part
+        self.asked.append(said.split(b" ")[1].decode())
+        with contextlib.suppress(OSError):      # the head went on to another connection
+            self.script(len(self.asked) - 1, sock, self.asked[-1])
+            sock.recv(1)                        # stays open until the head closes it
+
+    def stop(self) -> None:
+        self.server.stop()
+        for sock in self.socks:
+            sock.close()
+
+
+WATCH = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+
+
+def chunk(data: bytes) -> bytes:
+    return b"%x\r\n%s\r\n" % (len(data), data)
+
+
+def plain_sock(address: tuple[str, int], data: bytes = b"") -> std.socket:
+    """A connection whose calls never let the loop turn: what is sent lies in the kernel before the next line runs."""
+    sock = std.create_connection(address, timeout=10)
+    if data:
+        sock.sendall(data)
+    return sock
--- /dev/null
+++ b/tests/e2e/test_crossings.py
@@ -0,0 +1,191 @@
+"""Narrow moments of the live head, on real sockets: what if bytes, an end or a signal come between two lines?
+
+Each crossing is forced: by a socket whose sends do not let the loop turn (`plain_sock`), by a connect that waits for
+the test (`LateConnect`), by a peer that says what the test chooses, or by ending what would hide the fault (the sweep
+for clients that left). None is waited for.
+"""
+from __future__ import annotations
+
+import socket as std
+import time
+from collections.abc import Iterator
+from pathlib import Path
+from typing import Any
+
+import gevent
+import pytest
+from gevent.event import Event
+
+from fawnspool import interface as i
+from fawnspool.net import client as net_client
+from fawnspool.net.wire import Wire
+from tests.e2e.relayrig import SETTINGS, RelayRig, headers, plain_sock, text
+from tests.e2e.rig import wait_for
+from tests.e2e.test_relay import outcomes
+
+KEYED = {"Idempotency_Key": "k"}
+
+
+@pytest.fixture
+def rig(tmp_path: Path) -> Iterator[RelayRig]:
+    made = RelayRig(tmp_path)
+    yield made
+    made.stop()
+
+
+class LateConnect:
+    """Connections to shelfs come up when the test says so, however long the head would wait; `at_once` of them before
+    that."""
+
+    def __init__(self, monkeypatch: pytest.MonkeyPatch) -> None:
+        self.go, self.asked, self.at_once, real = Event(), 0, 1 << 30, net_client.connect
+
+        def connect(address: tuple[str, int], deadline: float) -> Wire:
+            self.asked += 1
+            if self.asked > self.at_once:
+                self.go.wait()
+            return real(address, time.monotonic() + 5)
+
+        monkeypatch.setattr(net_client, "connect", connect)
+
+
+@pytest.fixture
+def late(monkeypatch: pytest.MonkeyPatch) -> LateConnect:
+    return LateConnect(monkeypatch)
+
+
+def keyed_window(seconds: float) -> list[dict[str, Any]]:
+    return [c | ({"window": seconds} if c["name"] == "note" else {}) for c in SETTINGS["classes"]]
+
+
+# ------------------------------------------------------------------ repeats
+
+
+def test_a_repeat_whose_connection_comes_up_behind_the_window_is_not_written(
+        tmp_path: Path, late: LateConnect) -> None:
+    """Brink seed 10, zone: a keyed request sent again within its window reached its shelf after it."""
+    rig = RelayRig(tmp_path, classes=keyed_window(0.3))
+    try:
+        seen, shelf = outcomes(rig), rig.shelfs[0]
+        shelf.ends = True
+        shelf.script = lambda asked: b""            # a reset-like end behind a request that may have run
+        late.asked, late.at_once = 0, 1             # the first has its connection: the second waits
+        sock = rig.raw(text("/note", headers("w1") | {"Idempotency-Key": "k"}, "PUT", b"x"))
+        wait_for(lambda: rig.asked() == ["w1"] and late.asked == 2)
+        gevent.sleep(0.35)                          # the window is over, its time is not
+        late.go.set()
+        assert sock.recv(4096).startswith(b"HTTP/1.1 50")
+        assert rig.asked() == ["w1"] and [o.result for o in seen] == [i.Result.BROKEN, i.Result.MOOT]
+    finally:
+        rig.stop()
+
+
+def test_a_repeat_inside_its_window_is_written(tmp_path: Path) -> None:
+    rig = RelayRig(tmp_path, classes=keyed_window(0.5))
+    try:
+        shelf = rig.shelfs[0]
+        shelf.ends = True
+        shelf.script = lambda asked: b"" if len(shelf.asked) == 1 else None
+        got: Any = rig.client().ask("PUT", "/note", b"x", **headers("w1"), **KEYED)
+        assert got.status == 200 and rig.asked() == ["w1", "w1"]
+    finally:
+        rig.stop()
+
+
+# ------------------------------------------------------------------ clients that leave
+
+
+def gone(rig: RelayRig) -> None:
+    """All that the head had in hand is over."""
+    wait_for(lambda: not rig.core.pending and not rig.program.front.open)
+
+
+@pytest.mark.parametrize("how", ["close", "reset", "half"])
+def test_nothing_is_sent_for_a_client_that_left_while_the_connection_came_up(
+        rig: RelayRig, late: LateConnect, how: str) -> None:
+    rig.core.sweeper.kill()                         # the sweep sees it too, a little later
+    late.asked, late.at_once = 0, 0
+    sock = rig.raw(text("/read", headers("r1")))
+    wait_for(lambda: late.asked == 1)
+    if how == "half":
+        sock.shutdown(std.SHUT_WR)
+    else:
+        if how == "reset":
+            sock.setsockopt(std.SOL_SOCKET, std.SO_LINGER, b"\x01\0\0\0\0\0\0\0")
+        sock.close()
+    wait_for(lambda: next(iter(rig.core.pending.values())).exchange.client_left())
+    late.go.set()
+    gone(rig)
+    assert rig.asked() == []
+
+
+def test_nothing_is_sent_again_for_a_client_that_left_between_two_attempts(rig: RelayRig) -> None:
+    rig.core.sweeper.kill()
+    shelf, seen = rig.shelfs[0], outcomes(rig)
+    shelf.ends = True
+    sock = rig.raw(b"")
+
+    def script(asked: Any) -> bytes:
+        sock.close()                                # it is gone before its first attempt has ended
+        return b""
+
+    shelf.script = script
+    sock.sendall(text("/read", headers("r1")))
+    wait_for(lambda: len(seen) == 2)
+    gone(rig)
+    assert rig.asked() == ["r1"] and [o.result for o in seen] == [i.Result.BROKEN, i.Result.MOOT]
+
+
+@pytest.mark.parametrize("behind", [1, 60_000, 300_000])
+def test_an_end_behind_unread_bytes_is_seen(rig: RelayRig, behind: int) -> None:
+    """The next request, or noise, lies between the request in hand and the end of its connection."""
+    shelf, seen = rig.shelfs[0], outcomes(rig)
+    shelf.hold.clear()
+    sock = plain_sock(rig.listen)
+    sock.sendall(text("/read", headers("r1")))
+    wait_for(lambda: rig.asked() == ["r1"])
+    feeder = gevent.get_hub().threadpool.spawn(sock.sendall, b"x" * behind)
+    wait_for(feeder.ready)
+    sock.close()
+    wait_for(lambda: [o.result for o in seen] == [i.Result.CANCELLED])
+    gone(rig)
+
+
+def test_a_request_behind_another_is_served_in_its_turn(rig: RelayRig) -> None:
+    shelf = rig.shelfs[0]
+    shelf.hold.clear()
+    sock = rig.raw(text("/read", headers("r1")))
+    wait_for(lambda: rig.asked() == ["r1"])
+    sock.sendall(text("/read", headers("r2", shard=1)) + text("/read", headers("r3", shard=1))[:50])
+    conn = next(iter(rig.program.front.server.open))
+    wait_for(lambda: conn.ahead)                    # the sweep has looked behind the first
+    shelf.hold.set()
+    sock.sendall(text("/read", headers("r3", shard=1))[50:])
+    got = b""
+    while got.count(b"HTTP/1.1 200") < 3 or not got.endswith(b"r3 GET /read"):
+        got += sock.recv(4096)
+    assert [got.index(b"%s GET /read" % r) for r in (b"r1", b"r2", b"r3")] == sorted(
+        got.index(b"%s GET /read" % r) for r in (b"r1", b"r2", b"r3"))
+
+
+def test_two_hundred_that_leave_at_once_are_not_sent_on(tmp_path: Path) -> None:
+    """The loop stands still while they leave, so no sweep has seen one of them when the node has room again."""
+    rig = RelayRig(tmp_path, sockets=1024)
+    try:
+        rig.core.sweeper.kill()
+        rig.shelfs[0].hold.clear()
+        first = rig.raw(text("/read", headers("first", volume="1", obj="1")))
+        wait_for(lambda: rig.asked() == ["first"])
+        rig.core.loop.module.lanes[0].bound = 1.0
+        rig.core.loop.module._shed = lambda lane: None      # held, however long it takes
+        socks = [plain_sock(rig.listen, text("/read", headers(f"r{k}", volume=f"{k + 2:x}", obj=f"{k + 2:x}")))
+                 for k in range(200)]
+        wait_for(lambda: rig.core.loop.module.lanes[0].held == 200)
+        for sock in socks:
+            sock.close()
+        rig.shelfs[0].hold.set()
+        assert first.recv(4096).startswith(b"HTTP/1.1 200")
+        gone(rig)
+        assert rig.asked() == ["first"]
+    finally:
+        rig.stop()
--- a/tests/e2e/test_relay.py
+++ b/tests/e2e/test_relay.py
@@ -10,7 +10,7 @@
 import subprocess
 import sys
 import time
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from pathlib import Path
 from typing import Any
 
@@ -281,8 +281,10 @@
 
 @contextlib.contextmanager
 def process_of(rig: RelayRig, descriptors: int = 1024,
-               start: tuple[str, ...] = ("-m", "fawnspool.relay")) -> Iterator[subprocess.Popen[bytes]]:
-    """The real process in the place of the rig's own program, held to so many descriptors."""
+               start: tuple[str, ...] = ("-m", "fawnspool.relay"),
+               up: Callable[[], Any] | None = None) -> Iterator[subprocess.Popen[bytes]]:
+    """The real process in the place of the rig's own program, held to so many descriptors. up: is it there? Without:
+    when it asked discovery."""
     rig.program.stop()
     before = len(rig.discovery.calls)
     process = subprocess.Popen(
@@ -290,7 +292,7 @@
         env={"RELAY_CONFIG": str(rig.path), "PATH": "/usr/bin:/bin"},
         preexec_fn=lambda: resource.setrlimit(resource.RLIMIT_NOFILE, (descriptors, descriptors)))
     try:
-        wait_for(lambda: len(rig.discovery.calls) > before, 30)
+        wait_for(up or (lambda: len(rig.discovery.calls) > before), 30)
         yield process
     finally:
         process.kill()
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -446,3 +446,27 @@
     for ident in owed.keys() - gone:
         job = h.control.jobs.get(ident)
         assert ident in h.ends or (job is not None and any(t.open for t in job.tries))
+
+
+def test_a_repeat_says_until_when_its_node_drops_it(head: Callable[..., Head]) -> None:
+    """Brink, zone: a repeat that waited for its connection reached its node behind the window."""
+    h = head(classes=(make_class(effect=Effect.KEYED, group=Group.CELL, window=1.0),))
+    ident = h.ask(1, patience=4.0)
+    assert h.sends[-1][1].write_within == 0.0           # a first attempt has no such bound
+    h.run(h.now + 0.75)
+    h.answer(ident, Result.BROKEN)
+    assert h.tries[ident] == 2 and h.sends[-1][1].write_within == pytest.approx(0.25 - 2 * 0.002)
+    h.run(h.now + 0.1)
+    h.answer(ident, Result.UNREACHED)                   # never ran: the first still counts
+    assert h.sends[-1][1].write_within == pytest.approx(0.15 - 2 * 0.002)
+    h.run(h.now + 0.147)
+    h.answer(ident, Result.UNREACHED)
+    assert h.tries[ident] == 3 and ident in h.ends      # at the very end of the window: no more
+
+
+def test_safe_repeats_and_those_of_what_never_ran_have_no_window(head: Callable[..., Head]) -> None:
+    for effect, result in ((Effect.SAFE, Result.BROKEN), (Effect.KEYED, Result.FULL), (Effect.UNSAFE, Result.FULL)):
+        h = head(classes=(make_class(effect=effect, window=1.0),))
+        ident = h.ask(1)
+        h.answer(ident, result)
+        assert h.tries[ident] == 2 and h.sends[-1][1].write_within == 0.0
