--- a/fawnspool/net/server.py
+++ b/fawnspool/net/server.py
@@ -10,11 +10,14 @@
 import math
 import socket as std
 import time
+from collections import deque
 from collections.abc import Callable, Iterator
+from itertools import islice
 from typing import Any
 
 import gevent
 from gevent import socket
+from gevent.hub import get_hub
 
 from fawnspool.connections.decide import Kind, crowded, makes_room
 from fawnspool.net.http import END, BadMessage, Head, Limits, RequestParser, head_bytes
@@ -24,6 +27,9 @@
 READ_BODY = 262_144
 LINGER_BYTES = 262_144      # of a closing connection, read and dropped so that the peer gets our last bytes
 LINGER_S = 0.2
+AHEAD = 131_072             # bytes read behind a request that is not answered yet, to see whether its client has gone
+LOOKS = 64                  # waiting connections looked at for one that may make room
+FULL_S = 0.01               # a full server looks again so soon
 ACCEPTS = 16                # connections accepted in one turn of the loop, at most
 _JSON = (b"Content-Type", b"application/json")
 
@@ -116,20 +122,54 @@
         return self.read_all
 
     def client_left(self) -> bool:
-        """Has the client closed its connection while its answer is awaited?"""
-        return self.conn.wire.closed or self.conn.wire.peer_left()
+        """Has the client closed its connection while its answer is awaited? An end is also seen behind bytes that
+        follow the request."""
+        conn = self.conn
+        if conn.wire.closed:
+            return True
+        return conn.ended() if self.read_all else conn.wire.peer_left()
 
 
 class Connection:
     """One client's connection."""
 
-    __slots__ = ("closing", "parser", "peer", "server", "until", "used", "wire")
+    __slots__ = ("ahead", "ahead_size", "closing", "gone", "parser", "peer", "server", "until", "used", "wire")
 
     def __init__(self, server: Server, wire: Wire, peer: Any) -> None:
         self.server, self.wire, self.peer = server, wire, peer
         self.parser, self.closing = RequestParser(server.limits), False
         self.used = False           # it has carried a whole request's head
         self.until = math.inf       # by when the request being read must be whole
+        self.gone = False           # the peer has closed its side
+        self.ahead: deque[tuple[bytes, float]] = deque()    # read behind a request in hand, with when it came
+        self.ahead_size = 0
+
+    def ended(self) -> bool:
+        """Has the peer closed? Does not wait; what lies before the end is read and kept for its turn."""
+        while not self.gone:
+            if self.ahead_size >= AHEAD:    # past what the buffers hold no end arrives: who floods has gone
+                return self.server.evicts or self.wire.ended_behind()
+            try:
+                data, came = self.wire.recv_now(READ)
+            except BlockingIOError:
+                return False
+            except OSError:
+                data = b""
+            if data:
+                self.ahead.append((data, came))
+                self.ahead_size += len(data)
+            self.gone = not data
+        return True
+
+    def _recv(self, size: int, deadline: float) -> bytes:
+        if self.ahead:
+            return self._next_ahead()[0]
+        return b"" if self.gone else self.wire.recv(size, deadline)
+
+    def _next_ahead(self) -> tuple[bytes, float]:
+        data, came = self.ahead.popleft()
+        self.ahead_size -= len(data)
+        return data, came
 
     def send(self, data: bytes) -> None:
         self.wire.sendall(data, time.monotonic() + self.server.piece_timeout)
@@ -138,7 +178,7 @@
         events = self.parser.events
         while not events:
             try:
-                data = self.wire.recv(size, min(self.until, time.monotonic() + self.server.piece_timeout))
+                data = self._recv(size, min(self.until, time.monotonic() + self.server.piece_timeout))
             except TimeoutError:
                 raise
             except OSError:
@@ -169,11 +209,16 @@
         began = 0.0
         try:
             while not events:
-                if began:
+                if self.ahead:
+                    data, came = self._next_ahead()
+                elif self.gone:
+                    return None
+                elif began:
                     data, came = self.wire.recv_stamped(READ, began + server.piece_timeout)
                 else:
                     data, came = self._first_bytes()
                 if not data:
+                    self.gone = True
                     return None
                 began = began or came
                 self.parser.feed(data)
@@ -248,23 +293,27 @@
             return
 
     def _close(self) -> None:
+        """Ours ends first, and what still comes is read and dropped: a close over unread bytes is a reset, which
+        takes our last bytes with it. Its sender sees the end before any answer, and may send it again."""
         try:
-            if self.closing and not self.wire.closed:       # let the peer read our last bytes before unread input
-                self.wire.shutdown(std.SHUT_WR)             # resets them
+            if not self.wire.closed and not self.gone:
+                self.wire.shutdown(std.SHUT_WR)
                 until, rest = time.monotonic() + LINGER_S, LINGER_BYTES
-                while rest > 0 and (data := self.wire.recv(READ, until)):
+                while rest > 0 and not self.server.stopping and (data := self.wire.recv(READ, until)):
                     rest -= len(data)
         except OSError:
             pass
-        self.wire.close()
+        finally:
+            self.wire.close()
 
 
 class Server:
     """Listens, accepts, and runs a greenlet for each connection. turn: requests begun in one turn of the loop, at
     most; 0: no bound. due: until when a request may wait for its turn. silent_close: seconds in which a new
     connection must begin its first request (None: idle_close). evicts: a whole request must come within
-    piece_timeout, and where `most` connections are open, the one that has waited longest without a request makes
-    room. crowd: with so many connections open an answer ends its own; 0: never."""
+    piece_timeout, where `most` connections are open the one that has waited longest without a request makes room,
+    and a client that sends over AHEAD bytes behind a request in hand counts as gone. crowd: with so many connections
+    open an answer ends its own; 0: never."""
 
     def __init__(self, address: tuple[str, int], handler: Callable[[Exchange], None], *,
                  limits: Limits | None = None, idle_close: float = 60.0, piece_timeout: float = 10.0,
@@ -300,14 +349,24 @@
             if accepted % ACCEPTS == 0:
                 gevent.sleep(0)             # a flood of connections must not hold up those that stand
             try:
+                if self.evicts and len(self.open) >= self.most:
+                    # Whoever comes now waits to be accepted until a place is free: it is not closed unheard.
+                    socket.wait_read(self.sock.fileno())
+                    if not self.make_room():
+                        gevent.sleep(FULL_S)
+                        continue
                 sock, peer = self.sock.accept()
             except OSError as bad:
-                if bad.errno in (errno.EMFILE, errno.ENFILE, errno.ECONNABORTED):
-                    if not self.evicts or not self._evict():
-                        gevent.sleep(0.01)      # out of descriptors: wait for one to be closed
-                    continue
-                return
-            if len(self.open) >= self.most and not (self.evicts and self._evict()):
+                if self.stopping:
+                    return
+                if bad.errno not in (errno.EMFILE, errno.ENFILE):
+                    if bad.errno != errno.ECONNABORTED:     # whatever it is, a head that takes nobody is worse
+                        self.on_error(bad)
+                        gevent.sleep(FULL_S)
+                elif not self.evicts or not self.make_room():
+                    gevent.sleep(FULL_S)        # out of descriptors: wait for one to be closed
+                continue
+            if len(self.open) >= self.most and not self.evicts:
                 sock.close()
                 continue
             plain = std.socket(fileno=sock.detach())
@@ -315,17 +374,23 @@
             conn = Connection(self, Wire(plain), peer)
             self.open[conn] = gevent.spawn(self._run, conn)
 
-    def _evict(self) -> bool:
-        """Close the connection that has waited longest, of the kind that makes room; False: none waits."""
+    def make_room(self) -> bool:
+        """Close the connection that has waited longest, of the kind that makes room; False: none waits. One whose
+        request has come and is only not read yet does not wait."""
         kind = makes_room(len(self.idle), len(self.silent))
         if kind is None:
             return False
-        waiting = self.silent if kind is Kind.SILENT else self.idle
-        conn = next(iter(waiting))
-        del waiting[conn]
-        self.open.pop(conn, None)
-        conn.wire.close()
-        return True
+        first, then = (self.silent, self.idle) if kind is Kind.SILENT else (self.idle, self.silent)
+        for conn in [*islice(first, LOOKS), *islice(then, LOOKS)]:
+            if conn.wire.unread():
+                continue
+            self.idle.pop(conn, None)
+            self.silent.pop(conn, None)
+            self.open.pop(conn, None)
+            conn.gone = True            # nothing of it is read any more
+            conn.wire.close()
+            return True
+        return False
 
     def last_answer(self) -> bool:
         """Must a connection end with its answer? Its client is told, and sends nothing more on it."""
@@ -336,11 +401,16 @@
         return len(self.open) > len(self.idle) + len(self.silent)
 
     def closing_down(self) -> None:
-        """From now on every answer is its connection's last; those that wait for a request end now. New ones are
-        still taken."""
+        """From now on every answer is its connection's last; those that wait for a request end now, but for those
+        whose request has come meanwhile: it is served. New ones are still taken."""
         self.leaving = True
         for conn in [*self.idle, *self.silent]:
-            conn.wire.close()
+            get_hub().loop.run_callback(self._let_go, conn)
+
+    def _let_go(self, conn: Connection) -> None:
+        """Its wait is over, if it waits still: what lies there is read, as at any deadline, else it is closed."""
+        if conn in self.idle or conn in self.silent:
+            conn.wire.end_wait()
 
     def _run(self, conn: Connection) -> None:
         try:
--- a/fawnspool/net/wire.py
+++ b/fawnspool/net/wire.py
@@ -23,6 +23,7 @@
 _STAMP_ROOM = 64
 _TIMESPEC = struct.Struct("qq")
 _OLDEST = 60.0          # seconds
+_PEER_CLOSED = (7, 8)   # tcp(7), TCP_INFO: CLOSE (it was reset), CLOSE_WAIT
 
 
 class Wheel:
@@ -211,18 +212,27 @@
         self._readable(deadline)
         while True:
             try:
-                data, extra, _, _ = self.sock.recvmsg(size, _STAMP_ROOM)
+                return self.recv_now(size)
             except BlockingIOError:
                 self._readable(deadline)
-                continue
-            now = time.monotonic()
-            for level, kind, raw in extra:
-                if level == std.SOL_SOCKET and kind == SO_TIMESTAMPNS and len(raw) >= 16:
-                    seconds, nanos = _TIMESPEC.unpack_from(raw)
-                    age = time.time() - seconds - nanos / 1e9
-                    if 0 < age < _OLDEST:       # else the wall clock was set meanwhile
-                        return data, now - age
-            return data, now
+
+    def recv_now(self, size: int) -> tuple[bytes, float]:
+        """What lies there, stamped. Raises BlockingIOError where nothing does."""
+        data, extra, _, _ = self.sock.recvmsg(size, _STAMP_ROOM)
+        now = time.monotonic()
+        for level, kind, raw in extra:
+            if level == std.SOL_SOCKET and kind == SO_TIMESTAMPNS and len(raw) >= 16:
+                seconds, nanos = _TIMESPEC.unpack_from(raw)
+                age = time.time() - seconds - nanos / 1e9
+                if 0 < age < _OLDEST:       # else the wall clock was set meanwhile
+                    return data, now - age
+        return data, now
+
+    def end_wait(self) -> None:
+        """Whoever waits to read finds its time over now: what lies there is read still, as at any deadline. To be
+        called from the loop itself."""
+        if self.reader is not None:
+            self.reader.late()
 
     def _readable(self, deadline: float) -> None:
         if self.reader is None:
@@ -277,6 +287,20 @@
         except OSError:
             return True
 
+    def unread(self) -> bool:
+        """Do bytes of the peer wait to be read?"""
+        try:
+            return self.sock.recv(1, std.MSG_PEEK) != b""
+        except OSError:
+            return False
+
+    def ended_behind(self) -> bool:
+        """Has the peer closed behind bytes that nobody has read, as far as the system tells?"""
+        try:
+            return self.sock.getsockopt(std.IPPROTO_TCP, std.TCP_INFO, 1)[0] in _PEER_CLOSED
+        except OSError:
+            return False
+
     def shutdown(self, how: int) -> None:
         self.sock.shutdown(how)
 
--- a/tests/e2e/test_crossings.py
+++ b/tests/e2e/test_crossings.py
@@ -6,6 +6,7 @@
 """
 from __future__ import annotations
 
+import os
 import socket as std
 import time
 from collections.abc import Iterator
@@ -189,3 +190,141 @@
         assert rig.asked() == ["first"]
     finally:
         rig.stop()
+
+
+# ------------------------------------------------------------------ closes that cross a request
+
+
+def rests(rig: RelayRig, ident: str) -> std.socket:
+    """A kept connection, resting."""
+    before = len(rig.program.front.server.idle)
+    sock = plain_sock(rig.listen, text("/read", headers(ident)))
+    wait_for(lambda: len(rig.program.front.server.idle) == before + 1)
+    assert sock.recv(4096).startswith(b"HTTP/1.1 200")
+    return sock
+
+
+def answer(sock: std.socket) -> bytes:
+    """What comes until the peer ends the connection."""
+    sock.setblocking(False)
+    got = b""
+    until = time.monotonic() + 10
+    while time.monotonic() < until:
+        try:
+            part = sock.recv(4096)
+        except BlockingIOError:
+            gevent.sleep(0.005)
+            continue
+        if not part:
+            return got
+        got += part
+    raise AssertionError("the connection stayed open")
+
+
+@pytest.mark.parametrize("used", [False, True])
+def test_who_has_asked_does_not_make_room(rig: RelayRig, used: bool) -> None:
+    """Its bytes lie in the kernel, its greenlet has not run: it looks as if it rested."""
+    server = rig.program.front.server
+    if used:
+        asks, rests_still = rests(rig, "r0"), rests(rig, "r1")
+    else:
+        asks = plain_sock(rig.listen)
+        wait_for(lambda: len(server.silent) == 1)
+        rests_still = plain_sock(rig.listen)
+        wait_for(lambda: len(server.silent) == 2)
+    asks.sendall(text("/read", headers("r2")))
+    assert server.make_room()                       # no turn of the loop between these two lines
+    assert answer(rests_still) == b""
+    server.leaving = True
+    assert answer(asks).startswith(b"HTTP/1.1 200") and rig.asked()[-1] == "r2"
+
+
+def test_nobody_makes_room_where_all_have_asked(rig: RelayRig) -> None:
+    server = rig.program.front.server
+    asks = rests(rig, "r0")
+    asks.sendall(text("/read", headers("r1")))
+    assert not server.make_room()
+    server.leaving = True
+    assert answer(asks).startswith(b"HTTP/1.1 200")
+
+
+@pytest.mark.parametrize("used", [False, True])
+def test_a_request_that_came_before_the_end_of_its_connection_is_served(rig: RelayRig, used: bool) -> None:
+    server = rig.program.front.server
+    sock = rests(rig, "r0") if used else plain_sock(rig.listen)
+    wait_for(lambda: server.idle or server.silent)
+    sock.sendall(text("/read", headers("r1")))
+    server.closing_down()
+    assert answer(sock).startswith(b"HTTP/1.1 200")
+    assert rig.asked()[-1] == "r1"
+
+
+def test_a_request_that_comes_behind_the_end_is_not_sent_on_and_not_reset(rig: RelayRig) -> None:
+    """Its client has been told by a clean end, before any answer, and sends it again elsewhere."""
+    server = rig.program.front.server
+    sock = rests(rig, "r0")
+    server.closing_down()
+    assert answer(sock) == b""
+    sock.setblocking(True)
+    sock.sendall(text("/read", headers("r1")))      # taken in and dropped: the end stays a clean one
+    wait_for(lambda: not server.open)
+    assert rig.asked() == ["r0"]
+
+
+def test_half_a_request_at_the_end_of_idle_connections_gets_its_time(rig: RelayRig) -> None:
+    server, whole = rig.program.front.server, text("/read", headers("r1"))
+    sock = rests(rig, "r0")
+    sock.sendall(whole[:30])
+    server.closing_down()
+    gevent.sleep(0)
+    sock.sendall(whole[30:])
+    assert answer(sock).startswith(b"HTTP/1.1 200")
+
+
+def test_a_second_request_behind_the_last_answer_is_not_sent_on(rig: RelayRig) -> None:
+    rig.program.front.server.leaving = True
+    sock = plain_sock(rig.listen, text("/read", headers("r1")) + text("/read", headers("r2")))
+    got = answer(sock)
+    assert got.count(b"HTTP/1.1") == 1 and b"Connection: close" in got
+    wait_for(lambda: not rig.program.front.server.open)
+    assert rig.asked() == ["r1"]
+
+
+def test_who_comes_while_all_places_are_taken_is_heard_later_and_not_closed(tmp_path: Path) -> None:
+    rig = RelayRig(tmp_path, sockets=64)
+    try:
+        server, shelf = rig.program.front.server, rig.shelfs[0]
+        shelf.hold.clear()
+        rig.core.loop.module._shed = lambda lane: None
+        busy = [plain_sock(rig.listen, text("/read", headers(f"b{k}", volume=f"{k + 1:x}")))
+                for k in range(server.most)]
+        wait_for(lambda: len(rig.program.front.open) == server.most)
+        late_one = plain_sock(rig.listen, text("/read", headers("late", shard=1)))
+        gevent.sleep(0.05)
+        assert "late" not in rig.asked()
+        late_one.setblocking(False)
+        with pytest.raises(BlockingIOError):        # neither closed nor reset
+            late_one.recv(1)
+        busy[0].close()
+        assert answer(late_one).startswith(b"HTTP/1.1 200")
+    finally:
+        rig.stop()
+
+
+def test_an_accept_that_fails_in_an_unknown_way_is_not_the_last(rig: RelayRig) -> None:
+    server = rig.program.front.server
+    real, failed = server.sock, []
+
+    class Odd:
+        def accept(self) -> Any:
+            if not failed:
+                failed.append(1)
+                raise OSError(os.EX_PROTOCOL, "odd")
+            return real.accept()
+
+        def __getattr__(self, name: str) -> Any:
+            return getattr(real, name)
+
+    server.sock = Odd()
+    assert rig.client().ask("GET", "/read", **headers("r1")).status == 200      # ends the accept that stood
+    assert rig.client().ask("GET", "/read", **headers("r2")).status == 200 and failed
