--- a/fawnspool/control.py
+++ b/fawnspool/control.py
@@ -29,6 +29,7 @@
 ASK_ALL_S = 1.0          # pause between calls to every head for units of one limit, seconds
 ON_TIME = 0.95           # part of the time for which a lender counts units as on their way: for clocks' rates
 TICKS_PER_AIM = 8        # looks at all queues within the least aim: a late look costs an eighth of it
+ASK_MOST_S = 0.8         # longest pause before a failed call for the list is repeated, seconds
 TRIAL_MOST_S = 1.0       # longest pause between trials of a failed node, seconds: its return is found within
 SIGNS = 3                # resets or failed connects in a row, no answer between, before suspicion
 SILENT = 3.0             # mean responses (at least half aims) without any answer, before suspicion
@@ -36,6 +37,7 @@
 VOLUMES_MOST = 4096      # volumes remembered, whatever comes
 _PEER = struct.Struct(">BQfI")   # what, volume, units, when asked for (asker's clock, milliseconds)
 _WANT, _LEND, _NONE = 1, 2, (0, 0, 0.0, 0)
+_ASK = 2**63             # the token of the timer for the next call for the list
 
 
 @dataclass(slots=True, eq=False)
@@ -165,9 +167,11 @@
     def _on_list(self, event: NodeList) -> None:
         saved = event.kind is ListKind.SAVED
         if event.kind is ListKind.FAILED:
-            # Re-asked well inside must_ask_in, each head after a pause of its own: all at once are all late.
-            self.ask_at = self.now + self.random.uniform(0.3, 0.6) * max(self.s.must_ask_in / 8, self.look)
-            return self._tick()
+            # Re-asked well inside must_ask_in and, whatever that is, soon, as what is missed counts as told
+            # all the same; each head after its own pause, lest all be late. Harm: calls to a dead service.
+            pause = self.random.uniform(0.5, 1.0) * min(self.s.must_ask_in / 8 or ASK_MOST_S, ASK_MOST_S)
+            self.ask_at = self.now + pause
+            return self.acts.append(SetTimer(pause, _ASK))
         known = self.nodes if event.kind is ListKind.CHANGES else {}
         known.update((entry.node, entry) for entry in event.entries)
         self.nodes = {n: entry for n, entry in known.items() if entry.phase is not Phase.GONE}
@@ -396,15 +400,15 @@
         lane.heard = lane.heard if lane.out else self.now
         lane.out[job.req.id, len(job.tries)] = self.now
         lane.flows[job.req.volume].out += 1
+        # A repeat that waits for its connection must not outlive the window in which nodes drop it.
+        doubt = job.doubt() if job.cls.effect is Effect.KEYED else []
+        within = doubt[0].sent + job.cls.window - 2 * self.s.tick - self.now if doubt else 0.0
         job.tries.append(_Attempt(lane.node, self.now))
         # Past its aim it only keeps others waiting at the node: nodes drop what is out of time, or stop it.
         self.acts.append(Send(job.req.id, lane.node, max(job.wanted - self.now, self.look), within))
 
     def _cold_room(self, lane: _Lane) -> bool:
         """May a node that may have just started be sent one more request by this head?
-        # A repeat that waits for its connection must not outlive the window in which nodes drop it.
-        doubt = job.doubt() if job.cls.effect is Effect.KEYED else []
-        within = doubt[0].sent + job.cls.window - 2 * self.s.tick - self.now if doubt else 0.0
 
         An answer gives its units back, so sends follow what the node does. Beyond that they grow by a part of
         what each head had served there (all together: what such a node bore): the warm part times half the
@@ -654,13 +658,15 @@
         self.ticking = True
 
     def _on_look(self, event: Timer) -> None:
+        if event.token == _ASK:
+            if self.now + 2 * self.s.tick >= self.ask_at:
+                self.ask_at = math.inf
+                self.acts.append(Watch(True) if self.s.must_ask else FetchList())
+            return
         if event.token:                 # else: now and then, what only the passing of time changes
             due = self.jobs.get(event.token - 1)
             return self._end(due) if due and due.held and due.ends <= self.now + 4 * self.s.tick else None
         self.ticking = False
-        if self.now >= self.ask_at:
-            self.ask_at = math.inf
-            self.acts.append(Watch(True) if self.s.must_ask else FetchList())
         for lane in [self.busy[cell] for cell in sorted(self.busy)]:
             patience = SILENT * max(self.least_aim / 2, lane.response)      # slow is not dead
             if lane.out and lane.sound() and self.now - lane.heard > patience:
@@ -676,7 +682,7 @@
                 lane.active.clear()
                 del self.busy[lane.cell]
         self._forget()
-        if self.jobs or self.ask_at < math.inf:
+        if self.jobs:
             self._tick()
 
     def _forget(self) -> None:
--- a/fawnspool/head/core.py
+++ b/fawnspool/head/core.py
@@ -326,6 +326,14 @@
 
     def _close_idle(self, action: i.CloseIdle) -> None:
         known = self.list.nodes.get(action.node)
+    def close_one_idle(self) -> bool:
+        """Close a connection to a node that no request uses now; False: there is none."""
+        for pool in self.pools.values():
+            if pool.idle:
+                pool.drop(pool.idle.popleft())
+                return True
+        return False
+
         if known is not None and known.address in self.pools:
             self.pools[known.address].close_idle()
 
--- a/fawnspool/head/listlink.py
+++ b/fawnspool/head/listlink.py
@@ -4,30 +4,63 @@
 """
 from __future__ import annotations
 
+import re
 import time
-from collections.abc import Callable
-from typing import Any
+from collections.abc import Callable, Iterator
+from typing import Any, TypeVar
 
 import gevent
 
 from fawnspool import interface as i
-from fawnspool.net.client import Broken, Link, NotReached, Pool, call
-from fawnspool.net.http import BadMessage, request_bytes
-
-LINE_MOST = 4 << 20     # bytes of one line of a watch
-# RecursionError: JSON of endless depth. What is caught here is told to the module, which asks again.
-_BAD = (NotReached, Broken, BadMessage, TimeoutError, ValueError, RecursionError)
+from fawnspool.net.client import Broken, Link, NoPlace, Pool, call
+from fawnspool.net.http import request_bytes
+
+LINE_MOST = 4 << 20     # bytes of one object on a watch
+_ROOMS = 4              # connections closed for one of ours, at most
+_T = TypeVar("_T")
+_STRING = re.compile(rb'"(?:[^"\\]|\\.)*"')
+
+
+class Objects:
+    """Bytes in, whole JSON objects out (b"" for an empty line between them). An object ends with the line that closes
+    its last brace: it may stand on one line or, indented, on several. Raises ValueError past `most` bytes."""
+
+    def __init__(self, most: int) -> None:
+        self.most = most
+        self.rest, self.parts = list[bytes](), list[bytes]()    # of a line, of an object that is not whole
+        self.tail = self.size = self.depth = 0
+
+    def feed(self, data: bytes) -> Iterator[bytes]:
+        *lines, last = data.split(b"\n")
+        for line in lines:
+            line, self.rest, self.tail = b"".join((*self.rest, line)), [], 0
+            if self.depth == 0 and not line.strip():
+                yield b""
+                continue
+            bare = _STRING.sub(b"", line)
+            self.depth += bare.count(b"{") + bare.count(b"[") - bare.count(b"}") - bare.count(b"]")
+            self.parts.append(line)
+            self.size += len(line)
+            if self.depth <= 0:
+                whole, self.parts, self.size, self.depth = b"\n".join(self.parts), [], 0, 0
+                yield whole
+        self.rest.append(last)
+        self.tail += len(last)
+        if self.size + self.tail > self.most:
+            raise ValueError(f"an object of over {self.most} bytes")
 
 
 class ListLink:
-    """Calls and watches of one service. `silence`: seconds without a byte after which a watch counts as broken."""
+    """Calls and watches of one service. `timeout`: seconds in which a call must have its answer and a watch its head,
+    connection included; `silence`: seconds without a whole line after which a watch counts as broken."""
 
     version = 0
     line_most = LINE_MOST
 
     def __init__(self, address: tuple[str, int], timeout: float, silence: float, tell: Callable[[Any], None],
-                 log: Any) -> None:
+                 log: Any, make_room: Callable[[], bool] = lambda: False) -> None:
         self.timeout, self.silence, self.tell, self.log = timeout, silence, tell, log
+        self.make_room = make_room      # closes a connection that can be spared, so that a descriptor is free
         self.pool = Pool(address, 4, timeout, 60.0)
         self.heard = 0.0                # when the service last said anything
         self.reachable = False
@@ -55,11 +88,15 @@
 
     def stop(self) -> None:
         self.watch(False)
-        gevent.killall(list(self.calls))
+        self.end_calls()
+
+    def end_calls(self) -> None:
+        """Calls under way tell nothing any more."""
+        gevent.killall(list(self.calls), block=False)
 
     def watch(self, on: bool) -> None:
         if self.watching is not None and (not on or self.watching.dead):
-            self.watching.kill()
+            self.watching.kill(block=False)
             self.watching = None
         if on and self.watching is None:
             self.watching = gevent.spawn(self._watch)
@@ -73,46 +110,79 @@
     # ------------------------------------------------------------ the service
 
     def _fetch(self) -> None:
+        version = self.version
         try:
-            status, body = call(self.pool, b"GET", self.call_target(), time.monotonic() + self.timeout)
+            status, body = self._room_for(
+                lambda: call(self.pool, b"GET", self.call_target(), time.monotonic() + self.timeout))
             if status.code != 200:
                 raise ValueError(f"answered {status.code}")
+            if self.version != version:
+                self.log.info("an answer that a watch overtook is dropped")
+                return
             self._heard(body)
-        except _BAD as bad:
+        except Exception as bad:        # whatever it is: the module has to know, or it never asks again
             self._failed(bad)
 
     def _watch(self) -> None:
-        link: Link | None = None
+        """A watch that falls silent is opened anew at once, as what it missed counts as told soon; for any other
+        failure the module chooses when."""
+        me = gevent.getcurrent()
+        while True:
+            pool, link = self.pool, None        # a move changes the pool
+            try:
+                link, began = self._open_watch(pool)
+                self._follow(link, began)
+            except Exception as bad:
+                if link is not None and isinstance(bad, TimeoutError) and self.watching is me:
+                    self.log.warning("a watch fell silent and is opened anew")
+                    continue
+                if self.watching is me:
+                    self.watching = None
+                    self._failed(bad)
+                return
+            finally:
+                if link is not None:
+                    pool.drop(link)
+
+    def _open_watch(self, pool: Pool) -> tuple[Link, float]:
+        """A watch whose answer has begun, and when it did."""
+        until = time.monotonic() + self.timeout
+        link = self._room_for(lambda: pool.take(until))
         try:
-            link = self.pool.take(time.monotonic() + self.timeout)
-            link.send(request_bytes(b"GET", self.watch_target(), b"list", []), time.monotonic() + self.timeout)
-            status = link.begin_answer(time.monotonic() + self.timeout)
+            link.send(request_bytes(b"GET", self.watch_target(), b"list", []), until)
+            status = link.begin_answer(until)
             if status.code != 200:
                 raise ValueError(f"answered {status.code}")
-            rest, size = list[bytes](), 0       # of a line that is not whole: joined once, as it may be long
-            while True:
-                piece = link.piece(time.monotonic() + self.silence)
-                if piece is None:
-                    raise Broken("the watch ended")
-                *lines, last = piece.split(b"\n")
-                if lines:
-                    lines[0], rest, size = b"".join((*rest, lines[0])), [], 0
-                rest.append(last)
-                size += len(last)
-                if size > self.line_most:
-                    raise ValueError(f"a line of over {self.line_most} bytes")
-                for line in lines:
-                    self.heard = time.monotonic()
-                    if line.strip():
-                        self._heard(line)
-                    else:
-                        self.beat()
-        except _BAD as bad:
-            self.watching = None
-            self._failed(bad)
-        finally:
-            if link is not None:
-                self.pool.drop(link)
+        except BaseException:
+            pool.drop(link)
+            raise
+        return link, time.monotonic()
+
+    def _follow(self, link: Link, last: float) -> None:
+        """Take in what a watch tells, until it ends. Only what is whole shows that it lives: an empty line, or an
+        object to its last brace, on one line or on several."""
+        lines = Objects(self.line_most)
+        while True:
+            piece = link.piece(last + self.silence)
+            if piece is None:
+                raise Broken("the watch ended")
+            for whole in lines.feed(piece):
+                last = time.monotonic()
+                if whole:
+                    self._heard(whole)
+                else:
+                    self.heard = last
+                    self.beat()
+
+    def _room_for(self, work: Callable[[], _T]) -> _T:
+        """Work that needs a descriptor: where none is left, a connection that can be spared is closed for it."""
+        for _ in range(_ROOMS):
+            try:
+                return work()
+            except NoPlace:
+                if not self.make_room():
+                    raise
+        return work()
 
     def _heard(self, data: bytes) -> None:
         self.heard, self.reachable = time.monotonic(), True
--- a/fawnspool/relay/config.py
+++ b/fawnspool/relay/config.py
@@ -1,6 +1,7 @@
 """What the platform tells a head: environment, configuration file, settings. Read, checked, passed on unchanged."""
 from __future__ import annotations
 
+import errno
 import json
 from collections.abc import Mapping
 from dataclasses import dataclass
@@ -12,7 +13,12 @@
 
 
 class ConfigError(Exception):
-    """The configuration can't be used; the text names the file, the place and what was expected."""
+    """The configuration can't be used; the text names the file, the place and what was expected. no_descriptor: there
+    was none left to read it with."""
+
+    def __init__(self, text: str, no_descriptor: bool = False) -> None:
+        super().__init__(text)
+        self.no_descriptor = no_descriptor
 
 
 @dataclass(frozen=True)
@@ -36,7 +42,8 @@
     try:
         tree = json.loads(Path(path).read_text(encoding="utf-8"))
     except OSError as bad:
-        raise ConfigError(f"{path}: {bad.strerror}; RELAY_CONFIG names the configuration") from None
+        raise ConfigError(f"{path}: {bad.strerror}; RELAY_CONFIG names the configuration",
+                          bad.errno in (errno.EMFILE, errno.ENFILE)) from None
     except (ValueError, RecursionError) as bad:
         raise ConfigError(f"{path}: not JSON: {bad}") from None
     if not isinstance(tree, dict):
@@ -56,7 +63,7 @@
             idle_close=float((settings.get("limits") or {}).get("idle_close", 15.0)))
     except SettingsError as bad:
         raise ConfigError(f"{path}: settings: {bad}") from None
-    except (TypeError, ValueError, AttributeError) as bad:
+    except (TypeError, ValueError, AttributeError, OverflowError) as bad:
         raise ConfigError(f"{path}: {bad}") from None
 
 
--- a/fawnspool/relay/discovery.py
+++ b/fawnspool/relay/discovery.py
@@ -13,8 +13,12 @@
 
 PLACE = b"/catalog/members"
 BEAT_S = 2.0            # while nothing changes, a watch says so this often (PROTOCOL, Discovery)
-CALL_S = 2 * BEAT_S     # a call that waits in discovery's queue may take this long before it counts as failed
-SILENCE_S = 2.5 * BEAT_S
+# What a silent watch misses counts as told 6 s after it fell silent, and any change 6 s after discovery had it and
+# could be reached (STANDING). So a beat that is 1.5 s late is a silence; and a call that was sent in vain just before
+# discovery was back leaves time for two more, which it answers or refuses within a second or so.
+SILENCE_S = 1.75 * BEAT_S
+CALL_S = 1.25 * BEAT_S
+OLDER = 3               # lists older than what is held, one after the other: then the service counts anew
 _PHASES = {"active": i.Phase.READY, "leaving": i.Phase.DRAINING, "left": i.Phase.GONE}
 
 
@@ -32,12 +36,24 @@
     """The list as this head has it. Shelfs are numbered here as they appear; a number is never given again."""
 
     def __init__(self, address: tuple[str, int], zones: tuple[str, ...], kinds: tuple[str, ...],
-                 tell: Callable[[Any], None], log: Any) -> None:
-        super().__init__(address, CALL_S, SILENCE_S, tell, log)
+                 tell: Callable[[Any], None], log: Any, make_room: Callable[[], bool] = lambda: False) -> None:
+        super().__init__(address, CALL_S, SILENCE_S, tell, log, make_room)
         self.zones, self.kinds = zones, kinds
         self.nodes: dict[int, Shelf] = {}
         self.numbers: dict[str, int] = {}
         self.last = 0
+        self.older = 0                  # lists older than what is held, in a row
+        self.confirmed = False          # has the service said anything of the list that is held?
+
+    def fetch(self) -> None:
+        """Where lists are pushed, the push is a watch too: without one nothing would come after the first answer."""
+        self.watch(True)
+
+    def beat(self) -> None:
+        """Nothing has changed since the version that the watch named: a list that was only saved is so confirmed."""
+        if not self.confirmed:
+            self.confirmed = True
+            self.tell(i.NodeList(i.ListKind.CHANGES, self.version, ()))
 
     def start(self, known: Mapping[str, Any]) -> None:
         """Give the list that the configuration holds, which may be old."""
@@ -51,8 +67,8 @@
         """Discovery is elsewhere from now on: a watch goes on there, from the version that is held."""
         self.log.info("discovery moves", to=f"{address[0]}:{address[1]}")
         old, watched = self.pool, self.watching is not None
-        self.watch(False)
         self.pool = old.at(address)
+        self.watch(False)               # what the old place still says tells nothing any more
         old.close_idle()
         if watched:
             self.watch(True)
@@ -70,9 +86,16 @@
             raise ValueError(f"not JSON: {bad}") from None
         if not isinstance(told, dict):
             raise ValueError("expected an object")
-        whole = bool(told.get("whole", True))
-        if not whole and _version(told) < self.version:
-            return              # heard before
+        whole, version = bool(told.get("whole", True)), _version(told)
+        if version < self.version:
+            if not whole:
+                return          # heard before
+            # An answer that was made before a change that is known, or a service that lost its count. The first must
+            # not bring back a node that drains, the second not be refused for ever.
+            self.older += 1
+            if self.older < OLDER:
+                raise ValueError(f"a list of {version}, older than {self.version}")
+        self.older = 0
         self._apply(told, i.ListKind.WHOLE if whole else i.ListKind.CHANGES)
 
     def _apply(self, told: Mapping[str, Any], kind: i.ListKind) -> None:
@@ -97,7 +120,7 @@
                 self.nodes[entry.node] = shelf
         if kind is not i.ListKind.CHANGES:
             self.numbers = {shelf.name: node for node, shelf in self.nodes.items()}
-        self.version = version
+        self.version, self.confirmed = version, kind is not i.ListKind.SAVED
         self.tell(i.NodeList(kind, version, tuple(entries)))
 
     def _read(self, row: Mapping[str, Any], lag: float) -> tuple[i.ListEntry, Shelf]:
--- a/fawnspool/relay/program.py
+++ b/fawnspool/relay/program.py
@@ -41,7 +41,7 @@
                          PoolBounds(bounds.node, s.connect_timeout or 0.25, IDLE_SHARE * config.idle_close,
                                     lenient=True), Sums(), self.log)
         self.discovery = self.core.list = Discovery(config.discovery, config.zones, config.kinds, self.core.loop.tell,
-                                                    self.log)
+                                                    self.log, self.make_room)
         self.front = Front(self.core, s, config.listen, bounds)
         self.ended = Event()
         self.teller: Any = None
@@ -84,16 +84,24 @@
                 f"h{x.held} o{len(x.out)} r{x.response * 1000:.0f} w{x.wait * 1000:.0f}"
                 for x in lanes if x.node is not None]
 
+    def make_room(self) -> bool:
+        """Close a connection that can be spared, a client's or one to a shelf: its descriptor is needed more."""
+        return self.front.server.make_room() or self.core.close_one_idle()
+
     def reload(self) -> None:
         """SIGHUP: the file was replaced. What can change under load is where discovery is; the rest needs a restart."""
-        try:
-            new = load(self.path, self.environ)
-        except ConfigError as bad:
-            self.log.error("the new configuration is not taken", error=str(bad))
-            return
+        while True:
+            try:
+                new = load(self.path, self.environ)
+                break
+            except ConfigError as bad:
+                if bad.no_descriptor and self.make_room():
+                    continue
+                self.log.error("the new configuration is not taken", error=str(bad))
+                return
         if new.discovery != self.config.discovery:
-            self.discovery.move(new.discovery)
             self.config = replace(self.config, discovery=new.discovery)
+            self.discovery.move(new.discovery)
 
     def drain(self) -> None:
         """SIGTERM: go on serving the clients that still come, as nobody else has what their volumes need, until the
--- a/tests/e2e/test_crossings.py
+++ b/tests/e2e/test_crossings.py
@@ -6,10 +6,13 @@
 """
 from __future__ import annotations
 
+import contextlib
+import itertools
+import json
 import os
 import socket as std
 import time
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from pathlib import Path
 from typing import Any
 
@@ -18,11 +21,14 @@
 from gevent.event import Event
 
 from fawnspool import interface as i
+from fawnspool.head.listlink import Objects
 from fawnspool.net import client as net_client
 from fawnspool.net.wire import Wire
-from tests.e2e.relayrig import SETTINGS, RelayRig, headers, plain_sock, text
+from fawnspool.relay.discovery import BEAT_S, CALL_S, SILENCE_S
+from fawnspool.standins.platform import DiscoveryServer
+from tests.e2e.relayrig import SETTINGS, WATCH, RawDiscovery, RelayRig, chunk, headers, plain_sock, text
 from tests.e2e.rig import wait_for
-from tests.e2e.test_relay import outcomes
+from tests.e2e.test_relay import outcomes, process_of, told
 
 KEYED = {"Idempotency_Key": "k"}
 
@@ -328,3 +334,213 @@
     server.sock = Odd()
     assert rig.client().ask("GET", "/read", **headers("r1")).status == 200      # ends the accept that stood
     assert rig.client().ask("GET", "/read", **headers("r2")).status == 200 and failed
+
+
+# ------------------------------------------------------------------ the list
+
+
+def row(rig: RelayRig, health: str = "active", host: str = "s-0") -> dict[str, Any]:
+    return rig.discovery.rows[host] | {"health": health}
+
+
+def line(seq: int, *rows: dict[str, Any], whole: bool = False, indent: int | None = None) -> bytes:
+    return chunk(json.dumps({"seq": seq, "whole": whole, "hosts": rows}, indent=indent).encode() + b"\n")
+
+
+@contextlib.contextmanager
+def raw_discovery(rig: RelayRig, script: Callable[[int, Any, str], None], silence: float = 0.3
+                  ) -> Iterator[RawDiscovery]:
+    """The head follows discovery to one that plays `script`, and takes a shorter silence for the end of a watch."""
+    raw = RawDiscovery(script)
+    rig.program.discovery.silence = rig.program.discovery.timeout = silence
+    host, port = raw.address.split(":")
+    rig.program.discovery.move((host, int(port)))
+    try:
+        yield raw
+    finally:
+        raw.stop()
+
+
+def drained(rig: RelayRig) -> bool:
+    known = [s for s in rig.program.discovery.nodes.values() if s.name == "s-0"]
+    return bool(known) and known[0].phase is i.Phase.DRAINING
+
+
+SILENT = {
+    "after its head": [WATCH],
+    "after a line": [WATCH, chunk(b"\n")],
+    "in a line": [WATCH, chunk(b"\n"), chunk(b'{"seq": 99, "who')],
+    "in an indented object": [WATCH, chunk(b'{\n "seq": 99,\n')]}
+
+
+@pytest.mark.parametrize("case", SILENT)
+def test_a_watch_that_falls_silent_is_opened_anew_at_once(rig: RelayRig, case: str) -> None:
+    """What it misses counts as told 6 s after it fell silent: there is no time for a pause before the next."""
+    lists, when, seq = told(rig, i.NodeList), list[float](), rig.discovery.seq
+
+    def script(number: int, sock: Any, target: str) -> None:
+        when.append(time.monotonic())
+        if number < 2:                              # twice
+            for part in SILENT[case]:
+                sock.sendall(part)
+            return
+        sock.sendall(WATCH + line(seq + 1, row(rig, "leaving")))
+
+    with raw_discovery(rig, script):
+        wait_for(lambda: drained(rig))
+    assert all(0.25 < b - a < 0.9 for a, b in itertools.pairwise(when))
+    assert i.ListKind.FAILED not in [event.kind for event in lists]
+
+
+def test_bytes_without_a_whole_line_keep_no_watch_alive(rig: RelayRig) -> None:
+    seq = rig.discovery.seq
+
+    def script(number: int, sock: Any, target: str) -> None:
+        if number:
+            return sock.sendall(WATCH + line(seq + 1, row(rig, "leaving")))
+        sock.sendall(WATCH)
+        for _ in range(200):
+            sock.sendall(chunk(b" "))
+            gevent.sleep(0.05)
+
+    with raw_discovery(rig, script) as raw:
+        wait_for(lambda: drained(rig))
+        assert len(raw.asked) == 2
+
+
+def test_the_silence_of_the_platform_leaves_time_for_calls() -> None:
+    """6 s from when a watch fell silent: its last beat may be as old then as nothing, so the whole silence counts."""
+    assert BEAT_S < SILENCE_S and SILENCE_S + CALL_S <= 6.0
+
+
+def test_an_object_may_stand_on_several_lines(rig: RelayRig) -> None:
+    seq = rig.discovery.seq
+    odd = row(rig, "leaving") | {"note": 'a "brace" { [ and a back\\slash'}
+    bytes_of = WATCH + line(seq + 1, odd, indent=2) + chunk(b"\n") + line(seq + 2, row(rig, "leaving", "s-1"), indent=1)
+    with raw_discovery(rig, lambda number, sock, target: sock.sendall(bytes_of)):
+        wait_for(lambda: rig.program.discovery.version == seq + 2)
+        assert drained(rig)
+
+
+def test_objects_come_whole_however_they_are_cut() -> None:
+    text_of = b'\n{"a": [1,\n 2]}\n\n{"b": "}\\""}\n[\n\n]\nx\n{'
+    want = [b"", b'{"a": [1,\n 2]}', b"", b'{"b": "}\\""}', b"[\n\n]", b"x"]
+    for size in (1, 2, 3, 7, 100):
+        made = Objects(1000)
+        assert [w for k in range(0, len(text_of), size) for w in made.feed(text_of[k:k + size])] == want
+    with pytest.raises(ValueError, match="over 1000 bytes"):
+        for _ in range(300):
+            list(made.feed(b"[1,2\n"))
+
+
+def test_an_older_whole_list_behind_a_newer_change_brings_no_node_back(rig: RelayRig) -> None:
+    seq, before = rig.discovery.seq, rig.discovery.whole()["hosts"]
+
+    def script(number: int, sock: Any, target: str) -> None:
+        if number == 0:
+            return sock.sendall(WATCH + line(seq + 1, row(rig, "leaving")) + line(seq, *before, whole=True))
+        sock.sendall(WATCH + line(seq + 2, row(rig, "leaving", "s-1")))
+
+    with raw_discovery(rig, script, 1.0) as raw:
+        wait_for(lambda: rig.program.discovery.version == seq + 2)
+        assert drained(rig) and len(raw.asked) == 2 and f"index={seq + 1}" in raw.asked[1]
+
+
+def test_a_service_that_counts_anew_is_believed_in_the_end(rig: RelayRig) -> None:
+    rows = rig.discovery.whole()["hosts"]
+    with raw_discovery(rig, lambda number, sock, target: sock.sendall(WATCH + line(1, *rows, whole=True)), 1.0):
+        wait_for(lambda: rig.program.discovery.version == 1)
+
+
+def test_a_watch_with_nothing_to_tell_confirms_the_saved_list(rig: RelayRig) -> None:
+    lists, kinds = told(rig, i.NodeList), [i.ListKind.SAVED, i.ListKind.CHANGES]
+    with raw_discovery(rig, lambda number, sock, target: sock.sendall(WATCH + chunk(b"\n"))):
+        rig.program.discovery.start(rig.discovery.whole())
+        wait_for(lambda: [event.kind for event in lists] == kinds)
+        assert lists[1].entries == () and not rig.core.loop.module.unsure
+
+
+def test_two_new_configurations_one_behind_the_other_end_at_the_last(rig: RelayRig) -> None:
+    first, last = DiscoveryServer(), DiscoveryServer()
+    first.rows = last.rows = dict(rig.discovery.rows)
+    first.seq = last.seq = rig.discovery.seq
+    for other in (first, last):
+        rig.write(other)
+        gevent.spawn(rig.program.reload)
+        gevent.sleep(0)
+    wait_for(lambda: last.watchers and not first.watchers and not rig.discovery.watchers)
+    assert rig.program.discovery.pool.address == rig.program.config.discovery == last.server.address
+    wait_for(lambda: rig.program.discovery.pool.open == 1)
+    for other in (first, last):
+        other.server.stop()
+
+
+def test_a_pushed_list_is_watched(tmp_path: Path) -> None:
+    """The protocol's push is a watch: one call alone would never tell of a drain."""
+    rig = RelayRig(tmp_path, discovery="push")
+    try:
+        rig.discovery.put(rig.shelfs[0], "s-0", "leaving")
+        wait_for(lambda: drained(rig))
+        rig.discovery.down = True
+        for queue in list(rig.discovery.watchers):
+            queue.put(None)
+        wait_for(lambda: not rig.discovery.watchers)
+        rig.discovery.down = False
+        wait_for(lambda: rig.discovery.watchers)
+    finally:
+        rig.stop()
+
+
+def test_idle_clients_do_not_keep_the_head_from_the_list(tmp_path: Path) -> None:
+    """Every descriptor but the head's own few is a client's while discovery is down."""
+    rig = RelayRig(tmp_path, sockets=64)
+    rig.discovery.down = True
+    with process_of(rig, 64) as process:
+        kept = [rig.raw(text("/read", headers(f"k{k}", shard=k % 2))) for k in range(80)]
+        assert kept[0].recv(4096).startswith(b"HTTP/1.1 ")
+        quiet = [rig.raw(b"") for _ in range(80)]
+        rig.discovery.put(rig.shelfs[0], "s-0", "leaving")
+        rig.discovery.down = False
+        wait_for(lambda: rig.discovery.watchers, 6)
+        assert rig.client().ask("GET", "/read", **headers("r2", shard=1)).status == 200
+        gevent.sleep(0.05)
+        before = len(rig.shelfs[0].asked)
+        assert rig.client().ask("GET", "/read", **headers("r1", wait="300")).status in (502, 503, 504)
+        assert len(rig.shelfs[0].asked) == before and process.poll() is None and quiet
+
+
+def no_descriptor(monkeypatch: pytest.MonkeyPatch, target: Any, name: str, times: int) -> list[int]:
+    """So many calls of `target.name` find no descriptor left."""
+    real, failed = getattr(target, name), list[int]()
+
+    def fails(*args: Any, **kw: Any) -> Any:
+        if len(failed) < times:
+            failed.append(1)
+            raise OSError(24, "Too many open files")
+        return real(*args, **kw)
+
+    monkeypatch.setattr(target, name, fails)
+    return failed
+
+
+def test_a_watch_that_finds_no_descriptor_has_one_freed(rig: RelayRig, monkeypatch: pytest.MonkeyPatch) -> None:
+    spare = [rests(rig, f"r{k}") for k in range(3)]
+    lists, failed = told(rig, i.NodeList), no_descriptor(monkeypatch, net_client, "connect", 2)
+    host, port = rig.discovery.address.split(":")
+    rig.program.discovery.move((host, int(port)))
+    wait_for(lambda: rig.discovery.watchers and len(failed) == 2)
+    assert [answer(s) for s in spare[:2]] == [b"", b""]         # the two that had rested longest
+    assert i.ListKind.FAILED not in [event.kind for event in lists]
+
+
+def test_a_new_configuration_that_finds_no_descriptor_has_one_freed(
+        rig: RelayRig, monkeypatch: pytest.MonkeyPatch) -> None:
+    other = DiscoveryServer()
+    other.rows, other.seq = dict(rig.discovery.rows), rig.discovery.seq
+    rig.write(other)
+    rests(rig, "r0")
+    failed = no_descriptor(monkeypatch, Path, "read_text", 1)
+    rig.program.reload()
+    wait_for(lambda: other.watchers)
+    assert failed
+    other.server.stop()
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -470,3 +470,20 @@
         ident = h.ask(1)
         h.answer(ident, result)
         assert h.tries[ident] == 2 and h.sends[-1][1].write_within == 0.0
+
+
+@pytest.mark.parametrize("within", [0.0, 4.0, 10.0, 600.0])
+@pytest.mark.parametrize("aim", [0.1, 4.0, 60.0])
+def test_a_failed_call_for_the_list_is_repeated_soon_whatever_the_settings(within: float, aim: float) -> None:
+    """What is missed counts as told 6 s after it could be had, however rarely the settings want the list asked for."""
+    h = Head(make_settings(must_ask=True, must_ask_in=within, classes=(make_class(aim=aim, deadline=100.0),)))
+    for _ in range(20):
+        failed = h.now
+        h.give(NodeList(ListKind.FAILED, 0, ()))
+        before, acts = len(h.timers), list[object]()
+        while Watch(True) not in acts and h.now < failed + 10:
+            due = min(t for t in h.timers)
+            h.timers.remove(due)
+            h.now = max(h.now, due[0])
+            acts = h.give(Timer(due[1]))
+        assert before and 0.05 < h.now - failed <= 0.81
