--- a/fawnspool/connections/decide.py
+++ b/fawnspool/connections/decide.py
@@ -13,6 +13,7 @@
 NODE_LEAST = 4          # connections that a node may always have
 CROWD_PART = 4          # clients hold a third of all at most: at a fourth there is still room for others
 IDLE_SHARE = 0.8        # of the time after which nodes close an idle connection: a request must not cross that
+SETTLE = 0.02           # a second answer may follow the first some milliseconds later: until then no request goes there
 QUIET = 2.2             # rude clients are owed a close within 3 s; without a request 2 s are owed to any
 KEPT = 4.0              # usual clients come back to a connection that has carried a request
 SPARE = 0.3             # before it may be killed a head has answered all for so long
--- a/fawnspool/head/core.py
+++ b/fawnspool/head/core.py
@@ -65,6 +65,7 @@
     connect_timeout: float
     idle_close: float
     lenient: bool = False       # bytes behind a whole answer do not spoil it (see `net.client.Link`)
+    settle: float = 0.0         # a connection rests so long between two requests
 
 
 class Core:
@@ -249,9 +250,9 @@
             if outcome.answer is not None:
                 pending.cell = known.cell
         attempt.ending = outcome.ending
-        self.loop.tell(lambda: self._ended(pending, attempt, outcome))
         if outcome.ending is Ending.CLIENT_GONE:
             self.give_up(pending)
+        self.loop.tell(lambda: self._ended(pending, attempt, outcome))
 
     def _ended(self, pending: Pending, attempt: Attempt, outcome: Outcome) -> i.Outcome:
         """The attempt's outcome for the module, made in the loop's own turn, where answers are settled in order."""
@@ -321,11 +322,10 @@
         pool = self.pools.get(where)
         if pool is None:
             n = self.bounds
-            pool = self.pools[where] = Pool(where, n.most, n.connect_timeout, n.idle_close, lenient=n.lenient)
+            pool = self.pools[where] = Pool(where, n.most, n.connect_timeout, n.idle_close, lenient=n.lenient,
+                                            settle=n.settle)
         return pool
 
-    def _close_idle(self, action: i.CloseIdle) -> None:
-        known = self.list.nodes.get(action.node)
     def close_one_idle(self) -> bool:
         """Close a connection to a node that no request uses now; False: there is none."""
         for pool in self.pools.values():
@@ -334,6 +334,8 @@
                 return True
         return False
 
+    def _close_idle(self, action: i.CloseIdle) -> None:
+        known = self.list.nodes.get(action.node)
         if known is not None and known.address in self.pools:
             self.pools[known.address].close_idle()
 
--- a/fawnspool/net/client.py
+++ b/fawnspool/net/client.py
@@ -7,6 +7,8 @@
 from collections.abc import Callable
 from typing import Any
 
+import gevent
+
 from fawnspool.net.http import END, BadMessage, Limits, ResponseParser, Status, request_bytes
 from fawnspool.net.wire import Wire, connect
 
@@ -103,11 +105,12 @@
 
 
 class Pool:
-    """Links to one address: at most `most` open at once, idle ones kept for `idle_close` seconds."""
+    """Links to one address: at most `most` open at once, idle ones kept for `idle_close` seconds. settle: seconds for
+    which a link rests between two requests, so that what comes late of the one is not taken for the other's."""
 
     def __init__(self, address: tuple[str, int], most: int, connect_timeout: float, idle_close: float,
-                 on_open: Callable[[], None] | None = None, lenient: bool = False) -> None:
-        self.address, self.most, self.lenient = address, most, lenient
+                 on_open: Callable[[], None] | None = None, lenient: bool = False, settle: float = 0.0) -> None:
+        self.address, self.most, self.lenient, self.settle = address, most, lenient, settle
         self.connect_timeout, self.idle_close = connect_timeout, idle_close
         self.idle: deque[Link] = deque()
         self.open = 0
@@ -115,12 +118,23 @@
 
     def at(self, address: tuple[str, int]) -> Pool:
         """An empty pool of the same bounds for another address."""
-        return Pool(address, self.most, self.connect_timeout, self.idle_close, self.on_open, self.lenient)
+        return Pool(address, self.most, self.connect_timeout, self.idle_close, self.on_open, self.lenient, self.settle)
 
     def take(self, deadline: float) -> Link:
         """An idle link that is still whole, or a new one. Raises NotReached (also where all are in use)."""
         while self.idle:
+            # The one used last, as the others may then be given back; if it still rests, the one that has longest.
             link = self.idle.pop()
+            if self.idle and time.monotonic() - link.used < self.settle:
+                self.idle.append(link)
+                link = self.idle.popleft()
+            rest = link.used + self.settle - time.monotonic()
+            if rest > 0:
+                try:
+                    gevent.sleep(min(rest, max(0.0, deadline - time.monotonic())))
+                except BaseException:
+                    self.drop(link)
+                    raise
             if not link.stale() and time.monotonic() - link.used < self.idle_close:
                 link.fresh = False
                 return link
--- a/fawnspool/relay/program.py
+++ b/fawnspool/relay/program.py
@@ -12,7 +12,7 @@
 import gevent
 from gevent.event import Event
 
-from fawnspool.connections.decide import IDLE_SHARE, ending, places
+from fawnspool.connections.decide import IDLE_SHARE, SETTLE, ending, places
 from fawnspool.control import Controller
 from fawnspool.head.core import Core, PoolBounds
 from fawnspool.relay.config import ConfigError, RelayConfig, load
@@ -39,7 +39,7 @@
         bounds = places(config.sockets, s.cells)
         self.core = Core(s, Controller(s, config.seed), ShelfSpeech(s),
                          PoolBounds(bounds.node, s.connect_timeout or 0.25, IDLE_SHARE * config.idle_close,
-                                    lenient=True), Sums(), self.log)
+                                    lenient=True, settle=SETTLE), Sums(), self.log)
         self.discovery = self.core.list = Discovery(config.discovery, config.zones, config.kinds, self.core.loop.tell,
                                                     self.log, self.make_room)
         self.front = Front(self.core, s, config.listen, bounds)
--- a/tests/e2e/test_crossings.py
+++ b/tests/e2e/test_crossings.py
@@ -544,3 +544,77 @@
     wait_for(lambda: other.watchers)
     assert failed
     other.server.stop()
+
+
+# ------------------------------------------------------------------ answers
+
+
+def test_a_second_answer_some_milliseconds_late_is_not_the_next_requests(rig: RelayRig) -> None:
+    shelf = rig.shelfs[0]
+
+    def twice(asked: Any) -> bytes:
+        raw = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(asked.made()) + asked.made()
+        conn = next(c for c in shelf.server.open if c not in shelf.server.idle)
+        gevent.sleep(0.03)                          # longer than the second answer of the one before is late
+        gevent.spawn_later(0.008, conn.send, raw)
+        return raw
+
+    shelf.script = twice
+    c = rig.client()
+    for k in range(6):
+        got: Any = c.ask("GET", "/read", **headers(f"r{k}"))
+        assert (got.status, got.data) == (200, b"r%d GET /read" % k)
+
+
+@pytest.mark.parametrize("how", ["reset", "end"])
+def test_an_answer_without_a_length_that_is_cut_is_not_passed_on(rig: RelayRig, how: str) -> None:
+    shelf, seen = rig.shelfs[0], outcomes(rig)
+
+    def script(asked: Any) -> bytes | None:
+        if len(shelf.asked) > 1:
+            return None
+        conn = next(iter(shelf.server.open))
+        conn.send(b"HTTP/1.1 200 OK\r\n\r\nhalf of it")
+        if how == "reset":
+            gevent.sleep(0.02)
+            conn.wire.reset()
+        else:
+            conn.closing = True
+        return b""
+
+    shelf.script = script
+    got: Any = rig.client().ask("GET", "/read", **headers("r1"))
+    assert (got.status, got.data) == (200, b"r1 GET /read")
+    assert [o.result for o in seen] == [i.Result.BROKEN, i.Result.SERVED]
+
+
+def test_an_answer_that_never_ends_costs_its_attempt_alone(rig: RelayRig) -> None:
+    shelf = rig.shelfs[0]
+
+    def script(asked: Any) -> bytes | None:
+        if asked.ident != "r1":
+            return None
+        conn = next(c for c in shelf.server.open if c not in shelf.server.idle)
+        with contextlib.suppress(OSError):
+            conn.send(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+            for _ in range(200):
+                conn.send(b"1\r\nx\r\n")
+                gevent.sleep(0.01)
+        conn.closing = True
+        return b""
+
+    shelf.script = script
+    began = time.monotonic()
+    first = rig.raw(text("/read", headers("r1", wait="600", volume="1")))
+    assert rig.client().ask("GET", "/read", **headers("r2", volume="2")).status == 200
+    assert first.recv(4096).startswith(b"HTTP/1.1 50") and time.monotonic() - began < 1.0
+
+
+def test_a_connection_that_comes_up_as_it_is_given_up_carries_nothing(rig: RelayRig, late: LateConnect) -> None:
+    """Late for its request's time: it is closed unused, and its class may be an unsafe one."""
+    late.asked, late.at_once = 0, 0
+    sock = rig.raw(text("/read", headers("r1", wait="200")))
+    assert sock.recv(4096).startswith(b"HTTP/1.1 50")
+    late.go.set()
+    gone(rig)
+    assert rig.asked() == []
