--- a/fawnspool/adapter/settings.py
+++ b/fawnspool/adapter/settings.py
@@ -36,6 +36,20 @@
             raise SettingsError(f"setting {path} is not a number: {raw!r}")
         return value
 
+    def above(self, path: str) -> float:
+        """A number above 0: others divide by it, or wait for it."""
+        value = self.number(path)
+        if value <= 0:
+            raise SettingsError(f"setting {path}: expected a number above 0, found {value:g}")
+        return value
+
+    def many(self, path: str) -> int:
+        """A list's length, 1 or more."""
+        value = self.whole(f"{path}.count", 0)
+        if value < 1:
+            raise SettingsError(f"setting {path}: expected at least one entry")
+        return value
+
     def whole(self, path: str, default: int | None = None) -> int:
         return int(self.number(path, default))
 
@@ -81,18 +95,18 @@
 def _settings(p: _Pairs) -> Settings:
     writes = p.names("family_info.writes")
     return Settings(
-        classes=tuple(_request_class(p, k, writes) for k in range(p.whole("classes.count"))),
-        plans=tuple(_plan(p, k) for k in range(p.whole("grades.count"))),
-        heads=p.whole("siblings"), me=p.whole("me"), zone=p.whole("zone", 0),
+        classes=tuple(_request_class(p, k, writes) for k in range(p.many("classes"))),
+        plans=tuple(_plan(p, k) for k in range(p.many("grades"))),
+        heads=int(p.above("siblings")), me=p.whole("me"), zone=p.whole("zone", 0),
         must_ask=p.text("discovery", "push") == "ask",
         must_ask_in=p.number("guarantees.must_ask_in", 0.0),
         drain_grace=p.number("guarantees.drain_grace"),
         answer_slack=p.number("guarantees.answer_slack", 0.0),
-        fall=p.number("guarantees.fall"), fall_multiple=p.number("guarantees.tip_multiple"),
+        fall=p.above("guarantees.fall"), fall_multiple=p.number("guarantees.tip_multiple"),
         cold_capacity=p.number("guarantees.start_capacity"),
         warm_after=p.number("guarantees.warm_after"),
         young_limit=p.number("family_info.young_limit"),
-        mean_units=p.number("family_info.usual_units"),
+        mean_units=p.above("family_info.usual_units"),
         largest_units=p.number("family_info.largest"),
         cells=p.whole("family_info.slots_total"),
         share_worth=p.number("family_info.fair_worth"),
@@ -129,7 +143,7 @@
     if group not in Group._value2member_map_:
         raise SettingsError(f"setting {at}group is unknown: {group!r}")
     return RequestClass(
-        name=p.text(at + "name", str(k)), aim=p.number(at + "aim"), deadline=p.number(at + "deadline"),
+        name=p.text(at + "name", str(k)), aim=p.above(at + "aim"), deadline=p.above(at + "deadline"),
         worth=p.number(at + "value"), late_worth=p.number(at + "late_value", 0.0),
         effect=_EFFECTS[effect], group=Group(group), window=p.number(at + "window", 0.0),
         writes=k < len(writes) and writes[k] == "true", stream=p.flag(at + "stream", False),
@@ -140,6 +154,6 @@
     at = f"grades.{k}."
     return Plan(
         name=p.text(at + "name", str(k)), rate=p.number(at + "rate"),
-        reserve=p.number(at + "floor_rate", 0.0), weight=p.number(at + "shares"),
+        reserve=p.number(at + "floor_rate", 0.0), weight=p.above(at + "shares"),
         worth_factor=p.number(at + "value_factor"), limit=p.number(at + "cap", 0.0),
         limit_depth=p.number(at + "cap_depth", 0.0), limit_slack=p.number(at + "tolerance", 0.0))
--- a/fawnspool/relay/program.py
+++ b/fawnspool/relay/program.py
@@ -5,7 +5,7 @@
 import math
 import signal
 import time
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
 from dataclasses import replace
 from typing import Any
 
@@ -131,8 +131,8 @@
         self.core.stop()
 
 
-def main(environ: Mapping[str, str]) -> int:
-    """Run until SIGTERM or SIGINT; the program's exit status."""
+def main(environ: Mapping[str, str], early: Sequence[Any] = ()) -> int:
+    """Run until SIGTERM or SIGINT; the program's exit status. early: SIGHUPs that came before their handler stood."""
     logs.set_up("json")
     log: Any = logs.get()
     path = environ.get("RELAY_CONFIG", "")
@@ -148,6 +148,8 @@
     gevent.signal_handler(signal.SIGTERM, program.drain)
     gevent.signal_handler(signal.SIGINT, program.ended.set)
     program.start()
+    if early:
+        program.reload()                # the file may have been replaced behind our first reading
     program.log.info("serving", listen="{}:{}".format(*program.config.listen), sockets=program.config.sockets)
     gc.collect()
     gc.freeze()                         # what stands now is never garbage: full collections look at the rest alone
--- a/tests/e2e/test_crossings.py
+++ b/tests/e2e/test_crossings.py
@@ -10,7 +10,10 @@
 import itertools
 import json
 import os
+import re
 import socket as std
+import subprocess
+import sys
 import time
 from collections.abc import Callable, Iterator
 from pathlib import Path
@@ -336,6 +339,70 @@
     assert rig.client().ask("GET", "/read", **headers("r2")).status == 200 and failed
 
 
+# ------------------------------------------------------------------ the end
+
+
+def test_each_request_has_one_whole_answer_when_the_head_ends(rig: RelayRig, late: LateConnect) -> None:
+    """Held, being connected, out, answered in part, not yet whole, not yet begun: SIGTERM comes upon each at once."""
+    shelf, server = rig.shelfs[0], rig.program.front.server
+    kept = rests(rig, "k0")
+    shelf.hold.clear()
+    rig.core.loop.module._shed = lambda lane: None
+    rig.core.loop.module.lanes[0].bound = 1.0
+    rows = {"out": headers("out", volume="1", wait="1900"), "held": headers("held", volume="2", wait="1900")}
+    socks = {"out": rig.raw(text("/read", rows["out"]))}
+    wait_for(lambda: "out" in rig.asked())
+    socks["held"] = rig.raw(text("/read", rows["held"]))
+    wait_for(lambda: rig.core.loop.module.lanes[0].held == 1)
+    late.asked, late.at_once = 0, 0
+    socks["connecting"] = rig.raw(text("/read", headers("connecting", shard=1, volume="3", wait="1900")))
+    wait_for(lambda: late.asked == 1)
+    whole = text("/read", headers("half", shard=1, volume="4"))
+    socks["half"] = rig.raw(whole[:60])
+    silent = rig.raw(b"")
+    wait_for(lambda: len(server.silent) == 1)
+    ending = gevent.spawn(rig.program.drain)
+    again = gevent.spawn(rig.program.drain)         # a second signal
+    rig.program.reload()                            # and a new configuration
+    wait_for(lambda: rig.program.front.until < float("inf"))
+    socks["half"].sendall(whole[60:])
+    ending.join(timeout=10)
+    again.join(timeout=10)
+    assert rig.program.ended.is_set()
+    for name, sock in socks.items():
+        got = b""
+        while part := sock.recv(4096):
+            got += part
+        assert got.count(b"HTTP/1.1 ") == 1 and got[9:12] in (b"502", b"503", b"504"), name
+    assert silent.recv(1) == b"" and answer(kept) == b""
+    late.go.set()
+    gevent.sleep(0.05)
+    assert "connecting" not in rig.asked() and rig.asked().count("out") == 1
+
+
+def test_a_signal_while_the_program_loads_is_heard(tmp_path: Path) -> None:
+    """SIGHUP before any handler of ours stands ends a process; one that is only ignored would be missed."""
+    rig = RelayRig(tmp_path)
+    other = DiscoveryServer()
+    other.rows, other.seq = dict(rig.discovery.rows), rig.discovery.seq
+    start = ("import os, runpy, signal, sys, fawnspool.relay.config as c\n"
+             "real = c.load\n"
+             "def load(path, environ):\n"
+             "    got = real(path, environ)\n"
+             "    if not hit:\n"
+             "        hit.append(1); os.replace(path + '.next', path); os.kill(os.getpid(), signal.SIGHUP)\n"
+             "    return got\n"
+             "hit = []; c.load = load\n"
+             "runpy.run_module('fawnspool.relay', run_name='__main__')\n")
+    old = rig.path.read_bytes()
+    rig.write(other)
+    rig.path.rename(str(rig.path) + ".next")
+    rig.path.write_bytes(old)
+    with process_of(rig, start=("-c", start), up=lambda: other.watchers) as process:
+        assert process.poll() is None
+    other.server.stop()
+
+
 # ------------------------------------------------------------------ the list
 
 
@@ -618,3 +685,35 @@
     late.go.set()
     gone(rig)
     assert rig.asked() == []
+
+
+# ------------------------------------------------------------------ bad configurations
+
+
+BAD = {
+    "no classes": ({"classes": []}, "classes: expected at least one entry"),
+    "no plans": ({"grades": []}, "grades: expected at least one entry"),
+    "an aim of 0": ({"classes": [SETTINGS["classes"][0] | {"aim": 0}]}, r"classes\.0\.aim: expected a number above 0"),
+    "no weight": ({"grades": [SETTINGS["grades"][0] | {"shares": 0}]}, r"grades\.0\.shares"),
+    "an odd effect": ({"classes": [SETTINGS["classes"][0] | {"repeat": "often"}]}, "repeat is unknown: 'often'"),
+    "nobody": ({"siblings": 0}, "siblings: expected a number above 0")}
+
+
+@pytest.mark.parametrize("case", BAD)
+def test_a_bad_configuration_ends_the_start_in_words(tmp_path: Path, case: str) -> None:
+    change, said = BAD[case]
+    path = tmp_path / "config.json"
+    path.write_text(json.dumps({"name": "n0", "listen": "127.0.0.1:1", "discovery": "127.0.0.1:1",
+                                "settings": SETTINGS | change}))
+    done = subprocess.run([sys.executable, "-m", "fawnspool.relay"], cwd=Path(__file__).parents[2], timeout=30,
+                          env={"RELAY_CONFIG": str(path), "PATH": "/usr/bin:/bin"}, capture_output=True, text=True)
+    assert done.returncode == 2 and re.search(said, done.stderr) and "config.json" in done.stderr
+    assert "Traceback" not in done.stderr
+
+
+def test_a_bad_one_on_sighup_is_refused_and_the_old_goes_on(rig: RelayRig) -> None:
+    rig.settings = rig.settings | {"classes": []}
+    rig.write(DiscoveryServer())
+    rig.program.reload()
+    assert rig.program.config.discovery == rig.discovery.server.address
+    assert rig.client().ask("GET", "/read", **headers("r1")).status == 200
