--- a/fawnspool/control.py
+++ b/fawnspool/control.py
@@ -124,6 +124,7 @@
     failed: int = 0             # bad signs in a row; over 0: only trials
     trial_at: float = 0.0
     born: float | None = None   # latest time at which the node may have started cold; None: long ago
+    guess: bool = False         # no list tells of that start: a saved one alone proves nothing
     shut: bool = False          # it took no connection since it last answered
     away: float = 0.0           # when it last began to fail
     served: float = 0.0         # units, since the head's start
@@ -201,10 +202,11 @@
             self._replace(lane)
 
     def _age(self, lane: _Lane, started: float, saved: bool) -> None:
-        """Since when the node may be cold. A saved list proves nothing; a live one settles it, but for a node
+        """Since when the node may be cold. A saved list proves no age; a live one settles it, but for a node
         that was away: it may have restarted since, until the list tells of a later start."""
         young = started > 0 and self.now - started < self.s.warm_after + self.s.fall
-        if saved:
+        lane.guess = saved and not young
+        if lane.guess:
             lane.born = self.now
         elif self.unsure or lane.born is None or started >= lane.away:
             lane.born = min(started, self.now) if young else None
@@ -413,18 +415,21 @@
         An answer gives its units back, so sends follow what the node does. Beyond that they grow by a part of
         what each head had served there (all together: what such a node bore): the warm part times half the
         rule's multiple less one, half being for chance; so the sum stays within the multiple of its power.
-        Drawn starts, lest all begin at once; a head with a saved list alone begins with one request."""
+        A head younger than the node has its even part of half of what such a node surely bears.
+        Drawn starts, lest all begin at once; where no list tells of a start it begins with one request."""
         age = math.inf if lane.born is None else self.now - lane.born - self.s.fall
         if lane.born is None or age >= self.s.warm_after:
             lane.born = None
             return True
         if lane.credited < lane.born - self.s.fall:
-            first = self.s.mean_units * (not self.unsure)
+            first = self.s.mean_units * (not lane.guess)
             lane.credited, lane.credit = lane.born - self.s.fall, -first * self.random.random()
         usual = lane.served / max(lane.born - self.since, self.s.warm_after)
         warm = self.s.cold_capacity + (1 - self.s.cold_capacity) * max(0.0, age) / self.s.warm_after
-        grown = (self.s.fall_multiple - 1) / 2 * warm * usual * (self.now - lane.credited)
-        lane.credited, lane.credit = self.now, min(0.0, lane.credit + grown)
+        sure = self.s.young_limit / 2 / self.s.fall / self.s.heads * (self.since > lane.born)
+        grown = max((self.s.fall_multiple - 1) / 2 * warm * usual, sure)
+        lane.credit = min(0.0, lane.credit + grown * (self.now - lane.credited))
+        lane.credited = self.now
         return lane.credit >= 0
 
     def _shed(self, lane: _Lane) -> None:
