--- a/fawnspool/control.py
+++ b/fawnspool/control.py
@@ -169,8 +169,10 @@
         saved = event.kind is ListKind.SAVED
         if event.kind is ListKind.FAILED:
             # Re-asked well inside must_ask_in and, whatever that is, soon, as what is missed counts as told
-            # all the same; each head after its own pause, lest all be late. Harm: calls to a dead service.
-            pause = self.random.uniform(0.5, 1.0) * min(self.s.must_ask_in / 8 or ASK_MOST_S, ASK_MOST_S)
+            # all the same: where lists are pushed at once, so inside the grace. Each head after its own
+            # pause, lest all be late. Harm: calls to a dead service.
+            most = self.s.must_ask_in / 8 if self.s.must_ask else self.s.drain_grace / 2
+            pause = self.random.uniform(0.5, 1.0) * min(most or ASK_MOST_S, ASK_MOST_S)
             self.ask_at = self.now + pause
             return self.acts.append(SetTimer(pause, _ASK))
         known = self.nodes if event.kind is ListKind.CHANGES else {}
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -487,3 +487,18 @@
             h.now = max(h.now, due[0])
             acts = h.give(Timer(due[1]))
         assert before and 0.05 < h.now - failed <= 0.81
+
+
+@pytest.mark.parametrize("grace", [0.25, 1.0, 8.0])
+def test_where_lists_are_pushed_a_broken_watch_is_opened_inside_the_grace(grace: float) -> None:
+    """What the service has counts as told at once there, whether or not a watch stands."""
+    h = Head(make_settings(must_ask=False, drain_grace=grace))
+    for _ in range(20):
+        failed, acts = h.now, list[object]()
+        h.give(NodeList(ListKind.FAILED, 0, ()))
+        while FetchList() not in acts and h.now < failed + 10:
+            due = min(h.timers)
+            h.timers.remove(due)
+            h.now = max(h.now, due[0])
+            acts = h.give(Timer(due[1]))
+        assert 0.05 < h.now - failed <= min(0.81, grace / 2 + 0.01)
