--- a/fawnspool/head/core.py
+++ b/fawnspool/head/core.py
@@ -65,7 +65,7 @@
     connect_timeout: float
     idle_close: float
     lenient: bool = False       # bytes behind a whole answer do not spoil it (see `net.client.Link`)
-    settle: float = 0.0         # a connection rests so long between two requests
+    cooldown: float = 0.0         # a connection rests so long between two requests
 
 
 class Core:
@@ -323,7 +323,7 @@
         if pool is None:
             n = self.bounds
             pool = self.pools[where] = Pool(where, n.most, n.connect_timeout, n.idle_close, lenient=n.lenient,
-                                            settle=n.settle)
+                                            cooldown=n.cooldown)
         return pool
 
     def close_one_idle(self) -> bool:
--- a/fawnspool/head/listlink.py
+++ b/fawnspool/head/listlink.py
@@ -16,12 +16,12 @@
 from fawnspool.net.http import request_bytes
 
 LINE_MOST = 4 << 20     # bytes of one object on a watch
-_ROOMS = 4              # connections closed for one of ours, at most
+_EVICTIONS = 4              # connections closed for one of ours, at most
 _T = TypeVar("_T")
 _STRING = re.compile(rb'"(?:[^"\\]|\\.)*"')
 
 
-class Objects:
+class ObjectSplitter:
     """Bytes in, whole JSON objects out (b"" for an empty line between them). An object ends with the line that closes
     its last brace: it may stand on one line or, indented, on several. Raises ValueError past `most` bytes."""
 
@@ -58,9 +58,9 @@
     line_most = LINE_MOST
 
     def __init__(self, address: tuple[str, int], timeout: float, silence: float, tell: Callable[[Any], None],
-                 log: Any, make_room: Callable[[], bool] = lambda: False) -> None:
+                 log: Any, free_descriptor: Callable[[], bool] = lambda: False) -> None:
         self.timeout, self.silence, self.tell, self.log = timeout, silence, tell, log
-        self.make_room = make_room      # closes a connection that can be spared, so that a descriptor is free
+        self.free_descriptor = free_descriptor      # closes a connection that can be spared
         self.pool = Pool(address, 4, timeout, 60.0)
         self.heard = 0.0                # when the service last said anything
         self.reachable = False
@@ -112,7 +112,7 @@
     def _fetch(self) -> None:
         version = self.version
         try:
-            status, body = self._room_for(
+            status, body = self._with_descriptor(
                 lambda: call(self.pool, b"GET", self.call_target(), time.monotonic() + self.timeout))
             if status.code != 200:
                 raise ValueError(f"answered {status.code}")
@@ -147,7 +147,7 @@
     def _open_watch(self, pool: Pool) -> tuple[Link, float]:
         """A watch whose answer has begun, and when it did."""
         until = time.monotonic() + self.timeout
-        link = self._room_for(lambda: pool.take(until))
+        link = self._with_descriptor(lambda: pool.take(until))
         try:
             link.send(request_bytes(b"GET", self.watch_target(), b"list", []), until)
             status = link.begin_answer(until)
@@ -161,7 +161,7 @@
     def _follow(self, link: Link, last: float) -> None:
         """Take in what a watch tells, until it ends. Only what is whole shows that it lives: an empty line, or an
         object to its last brace, on one line or on several."""
-        lines = Objects(self.line_most)
+        lines = ObjectSplitter(self.line_most)
         while True:
             piece = link.piece(last + self.silence)
             if piece is None:
@@ -174,13 +174,13 @@
                     self.heard = last
                     self.beat()
 
-    def _room_for(self, work: Callable[[], _T]) -> _T:
+    def _with_descriptor(self, work: Callable[[], _T]) -> _T:
         """Work that needs a descriptor: where none is left, a connection that can be spared is closed for it."""
-        for _ in range(_ROOMS):
+        for _ in range(_EVICTIONS):
             try:
                 return work()
             except NoPlace:
-                if not self.make_room():
+                if not self.free_descriptor():
                     raise
         return work()
 
--- a/fawnspool/net/client.py
+++ b/fawnspool/net/client.py
@@ -105,12 +105,12 @@
 
 
 class Pool:
-    """Links to one address: at most `most` open at once, idle ones kept for `idle_close` seconds. settle: seconds for
+    """Links to one address: at most `most` open at once, idle ones kept for `idle_close` seconds. cooldown: seconds for
     which a link rests between two requests, so that what comes late of the one is not taken for the other's."""
 
     def __init__(self, address: tuple[str, int], most: int, connect_timeout: float, idle_close: float,
-                 on_open: Callable[[], None] | None = None, lenient: bool = False, settle: float = 0.0) -> None:
-        self.address, self.most, self.lenient, self.settle = address, most, lenient, settle
+                 on_open: Callable[[], None] | None = None, lenient: bool = False, cooldown: float = 0.0) -> None:
+        self.address, self.most, self.lenient, self.cooldown = address, most, lenient, cooldown
         self.connect_timeout, self.idle_close = connect_timeout, idle_close
         self.idle: deque[Link] = deque()
         self.open = 0
@@ -118,7 +118,8 @@
 
     def at(self, address: tuple[str, int]) -> Pool:
         """An empty pool of the same bounds for another address."""
-        return Pool(address, self.most, self.connect_timeout, self.idle_close, self.on_open, self.lenient, self.settle)
+        return Pool(address, self.most, self.connect_timeout, self.idle_close, self.on_open, self.lenient,
+                    self.cooldown)
 
     def take(self, deadline: float) -> Link:
         """An idle link that is still whole, or a new one. Raises NotReached (also where all are in use)."""
--- a/fawnspool/net/server.py
+++ b/fawnspool/net/server.py
@@ -27,7 +27,7 @@
 READ_BODY = 262_144
 LINGER_BYTES = 262_144      # of a closing connection, read and dropped so that the peer gets our last bytes
 LINGER_S = 0.2
-AHEAD = 32_768              # bytes read behind a request that is not answered yet, to see whether its client has gone
+READ_AHEAD = 32_768         # bytes read behind a request that is not answered yet, to see whether its client left
 LOOKS = 64                  # waiting connections looked at for one that may make room
 FULL_S = 0.01               # a full server looks again so soon
 ACCEPTS = 16                # connections accepted in one turn of the loop, at most
@@ -127,48 +127,49 @@
         conn = self.conn
         if conn.wire.closed:
             return True
-        return conn.ended() if self.read_all else conn.wire.peer_left()
+        return conn.half_closed() if self.read_all else conn.wire.peer_left()
 
 
 class Connection:
     """One client's connection."""
 
-    __slots__ = ("ahead", "ahead_size", "closing", "gone", "parser", "peer", "server", "until", "used", "wire")
+    __slots__ = ("closing", "parser", "peer", "peer_closed", "read_ahead", "read_ahead_size", "server", "until", "used",
+                 "wire")
 
     def __init__(self, server: Server, wire: Wire, peer: Any) -> None:
         self.server, self.wire, self.peer = server, wire, peer
         self.parser, self.closing = RequestParser(server.limits), False
         self.used = False           # it has carried a whole request's head
         self.until = math.inf       # by when the request being read must be whole
-        self.gone = False           # the peer has closed its side
-        self.ahead: deque[tuple[bytes, float]] = deque()    # read behind a request in hand, with when it came
-        self.ahead_size = 0
+        self.peer_closed = False           # the peer has closed its side
+        self.read_ahead: deque[tuple[bytes, float]] = deque()    # read behind a request in hand, with when it came
+        self.read_ahead_size = 0
 
-    def ended(self) -> bool:
+    def half_closed(self) -> bool:
         """Has the peer closed? Does not wait; what lies before the end is read and kept for its turn."""
-        while not self.gone:
-            if self.ahead_size >= AHEAD:    # past what the buffers hold no end arrives: who floods has gone
-                return self.server.evicts or self.wire.ended_behind()
+        while not self.peer_closed:
+            if self.read_ahead_size >= READ_AHEAD:    # past what the buffers hold no end arrives: who floods has gone
+                return self.server.evicts or self.wire.closed_by_peer()
             try:
-                data, came = self.wire.recv_now(AHEAD)
+                data, came = self.wire.recv_now(READ_AHEAD)
             except BlockingIOError:
                 return False
             except OSError:
                 data = b""
             if data:
-                self.ahead.append((data, came))
-                self.ahead_size += len(data)
-            self.gone = not data
+                self.read_ahead.append((data, came))
+                self.read_ahead_size += len(data)
+            self.peer_closed = not data
         return True
 
     def _recv(self, size: int, deadline: float) -> bytes:
-        if self.ahead:
+        if self.read_ahead:
             return self._next_ahead()[0]
-        return b"" if self.gone else self.wire.recv(size, deadline)
+        return b"" if self.peer_closed else self.wire.recv(size, deadline)
 
     def _next_ahead(self) -> tuple[bytes, float]:
-        data, came = self.ahead.popleft()
-        self.ahead_size -= len(data)
+        data, came = self.read_ahead.popleft()
+        self.read_ahead_size -= len(data)
         return data, came
 
     def send(self, data: bytes) -> None:
@@ -209,16 +210,16 @@
         began = 0.0
         try:
             while not events:
-                if self.ahead:
+                if self.read_ahead:
                     data, came = self._next_ahead()
-                elif self.gone:
+                elif self.peer_closed:
                     return None
                 elif began:
                     data, came = self.wire.recv_stamped(READ, began + server.piece_timeout)
                 else:
                     data, came = self._first_bytes()
                 if not data:
-                    self.gone = True
+                    self.peer_closed = True
                     return None
                 began = began or came
                 self.parser.feed(data)
@@ -296,7 +297,7 @@
         """Ours ends first, and what still comes is read and dropped: a close over unread bytes is a reset, which
         takes our last bytes with it. Its sender sees the end before any answer, and may send it again."""
         try:
-            if not self.wire.closed and not self.gone:
+            if not self.wire.closed and not self.peer_closed:
                 self.wire.shutdown(std.SHUT_WR)
                 until, rest = time.monotonic() + LINGER_S, LINGER_BYTES
                 while rest > 0 and not self.server.stopping and (data := self.wire.recv(READ, until)):
@@ -312,8 +313,8 @@
     most; 0: no bound. due: until when a request may wait for its turn. silent_close: seconds in which a new
     connection must begin its first request (None: idle_close). evicts: a whole request must come within
     piece_timeout, where `most` connections are open the one that has waited longest without a request makes room,
-    and a client that sends over AHEAD bytes behind a request in hand counts as gone. crowd: with so many connections
-    open an answer ends its own; 0: never."""
+    and a client that sends over READ_AHEAD bytes behind a request in hand counts as gone. crowd: with so many
+    connections open an answer ends its own; 0: never."""
 
     def __init__(self, address: tuple[str, int], handler: Callable[[Exchange], None], *,
                  limits: Limits | None = None, idle_close: float = 60.0, piece_timeout: float = 10.0,
@@ -352,7 +353,7 @@
                 if self.evicts and len(self.open) >= self.most:
                     # Whoever comes now waits to be accepted until a place is free: it is not closed unheard.
                     socket.wait_read(self.sock.fileno())
-                    if not self.make_room():
+                    if not self.evict_idle():
                         gevent.sleep(FULL_S)
                         continue
                 sock, peer = self.sock.accept()
@@ -363,7 +364,7 @@
                     if bad.errno != errno.ECONNABORTED:     # whatever it is, a head that takes nobody is worse
                         self.on_error(bad)
                         gevent.sleep(FULL_S)
-                elif not self.evicts or not self.make_room():
+                elif not self.evicts or not self.evict_idle():
                     gevent.sleep(FULL_S)        # out of descriptors: wait for one to be closed
                 continue
             if len(self.open) >= self.most and not self.evicts:
@@ -374,7 +375,7 @@
             conn = Connection(self, Wire(plain), peer)
             self.open[conn] = gevent.spawn(self._run, conn)
 
-    def make_room(self) -> bool:
+    def evict_idle(self) -> bool:
         """Close the connection that has waited longest, of the kind that makes room; False: none waits. One whose
         request has come and is only not read yet does not wait."""
         kind = makes_room(len(self.idle), len(self.silent))
@@ -387,7 +388,7 @@
             self.idle.pop(conn, None)
             self.silent.pop(conn, None)
             self.open.pop(conn, None)
-            conn.gone = True            # nothing of it is read any more
+            conn.peer_closed = True            # nothing of it is read any more
             conn.wire.close()
             return True
         return False
@@ -405,12 +406,12 @@
         whose request has come meanwhile: it is served. New ones are still taken."""
         self.leaving = True
         for conn in [*self.idle, *self.silent]:
-            get_hub().loop.run_callback(self._let_go, conn)
+            get_hub().loop.run_callback(self._expire_wait, conn)
 
-    def _let_go(self, conn: Connection) -> None:
+    def _expire_wait(self, conn: Connection) -> None:
         """Its wait is over, if it waits still: what lies there is read, as at any deadline, else it is closed."""
         if conn in self.idle or conn in self.silent:
-            conn.wire.end_wait()
+            conn.wire.expire_wait()
 
     def _run(self, conn: Connection) -> None:
         try:
--- a/fawnspool/net/wire.py
+++ b/fawnspool/net/wire.py
@@ -228,7 +228,7 @@
                     return data, now - age
         return data, now
 
-    def end_wait(self) -> None:
+    def expire_wait(self) -> None:
         """Whoever waits to read finds its time over now: what lies there is read still, as at any deadline. To be
         called from the loop itself."""
         if self.reader is not None:
@@ -294,7 +294,7 @@
         except OSError:
             return False
 
-    def ended_behind(self) -> bool:
+    def closed_by_peer(self) -> bool:
         """Has the peer closed behind bytes that nobody has read, as far as the system tells?"""
         try:
             return self.sock.getsockopt(std.IPPROTO_TCP, std.TCP_INFO, 1)[0] in _PEER_CLOSED
--- a/fawnspool/relay/discovery.py
+++ b/fawnspool/relay/discovery.py
@@ -12,12 +12,12 @@
 from fawnspool.head.listlink import ListLink
 
 PLACE = b"/catalog/members"
-BEAT_S = 2.0            # while nothing changes, a watch says so this often (PROTOCOL, Discovery)
+HEARTBEAT_S = 2.0            # while nothing changes, a watch says so this often (PROTOCOL, Discovery)
 # What a silent watch misses counts as told 6 s after it fell silent, and any change 6 s after discovery had it and
 # could be reached (STANDING). So a beat that is 1.5 s late is a silence; and a call that was sent in vain just before
 # discovery was back leaves time for two more, which it answers or refuses within a second or so.
-SILENCE_S = 1.75 * BEAT_S
-CALL_S = 1.25 * BEAT_S
+WATCH_TIMEOUT_S = 1.75 * HEARTBEAT_S
+CALL_TIMEOUT_S = 1.25 * HEARTBEAT_S
 OLDER = 3               # lists older than what is held, one after the other: then the service counts anew
 _PHASES = {"active": i.Phase.READY, "leaving": i.Phase.DRAINING, "left": i.Phase.GONE}
 
@@ -36,8 +36,8 @@
     """The list as this head has it. Shelfs are numbered here as they appear; a number is never given again."""
 
     def __init__(self, address: tuple[str, int], zones: tuple[str, ...], kinds: tuple[str, ...],
-                 tell: Callable[[Any], None], log: Any, make_room: Callable[[], bool] = lambda: False) -> None:
-        super().__init__(address, CALL_S, SILENCE_S, tell, log, make_room)
+                 tell: Callable[[Any], None], log: Any, free_descriptor: Callable[[], bool] = lambda: False) -> None:
+        super().__init__(address, CALL_TIMEOUT_S, WATCH_TIMEOUT_S, tell, log, free_descriptor)
         self.zones, self.kinds = zones, kinds
         self.nodes: dict[int, Shelf] = {}
         self.numbers: dict[str, int] = {}
--- a/fawnspool/relay/program.py
+++ b/fawnspool/relay/program.py
@@ -12,7 +12,7 @@
 import gevent
 from gevent.event import Event
 
-from fawnspool.connections.decide import IDLE_SHARE, SETTLE, ending, places
+from fawnspool.connections.decide import COOLDOWN, IDLE_SHARE, ending, places
 from fawnspool.control import Controller
 from fawnspool.head.core import Core, PoolBounds
 from fawnspool.relay.config import ConfigError, RelayConfig, load
@@ -39,9 +39,9 @@
         bounds = places(config.sockets, s.cells)
         self.core = Core(s, Controller(s, config.seed), ShelfSpeech(s),
                          PoolBounds(bounds.node, s.connect_timeout or 0.25, IDLE_SHARE * config.idle_close,
-                                    lenient=True, settle=SETTLE), Sums(), self.log)
+                                    lenient=True, cooldown=COOLDOWN), Sums(), self.log)
         self.discovery = self.core.list = Discovery(config.discovery, config.zones, config.kinds, self.core.loop.tell,
-                                                    self.log, self.make_room)
+                                                    self.log, self.free_descriptor)
         self.front = Front(self.core, s, config.listen, bounds)
         self.ended = Event()
         self.teller: Any = None
@@ -84,9 +84,9 @@
                 f"h{x.held} o{len(x.out)} r{x.response * 1000:.0f} w{x.wait * 1000:.0f}"
                 for x in lanes if x.node is not None]
 
-    def make_room(self) -> bool:
+    def free_descriptor(self) -> bool:
         """Close a connection that can be spared, a client's or one to a shelf: its descriptor is needed more."""
-        return self.front.server.make_room() or self.core.close_one_idle()
+        return self.front.server.evict_idle() or self.core.close_one_idle()
 
     def reload(self) -> None:
         """SIGHUP: the file was replaced. What can change under load is where discovery is; the rest needs a restart."""
@@ -95,7 +95,7 @@
                 new = load(self.path, self.environ)
                 break
             except ConfigError as bad:
-                if bad.no_descriptor and self.make_room():
+                if bad.no_descriptor and self.free_descriptor():
                     continue
                 self.log.error("the new configuration is not taken", error=str(bad))
                 return
--- a/tests/e2e/test_crossings.py
+++ b/tests/e2e/test_crossings.py
@@ -24,10 +24,10 @@
 from gevent.event import Event
 
 from fawnspool import interface as i
-from fawnspool.head.listlink import Objects
+from fawnspool.head.listlink import ObjectSplitter
 from fawnspool.net import client as net_client
 from fawnspool.net.wire import Wire
-from fawnspool.relay.discovery import BEAT_S, CALL_S, SILENCE_S
+from fawnspool.relay.discovery import CALL_TIMEOUT_S, HEARTBEAT_S, WATCH_TIMEOUT_S
 from fawnspool.standins.platform import DiscoveryServer
 from tests.e2e.relayrig import SETTINGS, WATCH, RawDiscovery, RelayRig, chunk, headers, plain_sock, text
 from tests.e2e.rig import wait_for
@@ -168,7 +168,7 @@
     wait_for(lambda: rig.asked() == ["r1"])
     sock.sendall(text("/read", headers("r2", shard=1)) + text("/read", headers("r3", shard=1))[:50])
     conn = next(iter(rig.program.front.server.open))
-    wait_for(lambda: conn.ahead)                    # the sweep has looked behind the first
+    wait_for(lambda: conn.read_ahead)                    # the sweep has looked behind the first
     shelf.hold.set()
     sock.sendall(text("/read", headers("r3", shard=1))[50:])
     got = b""
@@ -254,7 +254,7 @@
         rests_still = plain_sock(rig.listen)
         wait_for(lambda: len(server.silent) == 2)
     asks.sendall(text("/read", headers("r2")))
-    assert server.make_room()                       # no turn of the loop between these two lines
+    assert server.evict_idle()                       # no turn of the loop between these two lines
     assert answer(rests_still) == b""
     server.leaving = True
     assert answer(asks).startswith(b"HTTP/1.1 200") and rig.asked()[-1] == "r2"
@@ -264,7 +264,7 @@
     server = rig.program.front.server
     asks = rests(rig, "r0")
     asks.sendall(text("/read", headers("r1")))
-    assert not server.make_room()
+    assert not server.evict_idle()
     server.leaving = True
     assert answer(asks).startswith(b"HTTP/1.1 200")
 
@@ -499,7 +499,7 @@
 
 def test_the_silence_of_the_platform_leaves_time_for_calls() -> None:
     """6 s from when a watch fell silent: its last beat may be as old then as nothing, so the whole silence counts."""
-    assert BEAT_S < SILENCE_S and SILENCE_S + CALL_S <= 6.0
+    assert HEARTBEAT_S < WATCH_TIMEOUT_S and WATCH_TIMEOUT_S + CALL_TIMEOUT_S <= 6.0
 
 
 def test_an_object_may_stand_on_several_lines(rig: RelayRig) -> None:
@@ -515,7 +515,7 @@
     text_of = b'\n{"a": [1,\n 2]}\n\n{"b": "}\\""}\n[\n\n]\nx\n{'
     want = [b"", b'{"a": [1,\n 2]}', b"", b'{"b": "}\\""}', b"[\n\n]", b"x"]
     for size in (1, 2, 3, 7, 100):
-        made = Objects(1000)
+        made = ObjectSplitter(1000)
         assert [w for k in range(0, len(text_of), size) for w in made.feed(text_of[k:k + size])] == want
     with pytest.raises(ValueError, match="over 1000 bytes"):
         for _ in range(300):
