--- a/fawnspool/net/client.py
+++ b/fawnspool/net/client.py
@@ -124,12 +124,12 @@
     def take(self, deadline: float) -> Link:
         """An idle link that is still whole, or a new one. Raises NotReached (also where all are in use)."""
         while self.idle:
-            # The one used last, as the others may then be given back; if it still rests, the one that has longest.
-            link = self.idle.pop()
-            if self.idle and time.monotonic() - link.used < self.settle:
-                self.idle.append(link)
-                link = self.idle.popleft()
-            rest = link.used + self.settle - time.monotonic()
+            # The one used last, as the others may then be given back, but for those that still cool down.
+            cool = time.monotonic() - self.cooldown
+            at = next((k for k in range(len(self.idle) - 1, -1, -1) if self.idle[k].used <= cool), -1)
+            link = self.idle[at]
+            del self.idle[at]
+            rest = link.used - cool
             if rest > 0:
                 try:
                     gevent.sleep(min(rest, max(0.0, deadline - time.monotonic())))
