--- a/fawnspool/control.py
+++ b/fawnspool/control.py
@@ -29,6 +29,7 @@
 ASK_ALL_S = 1.0          # pause between calls to every head for units of one limit, seconds
 ON_TIME = 0.95           # part of the time for which a lender counts units as on their way: for clocks' rates
 TICKS_PER_AIM = 8        # looks at all queues within the least aim: a late look costs an eighth of it
+ASK_MOST_S = 0.8         # longest pause before a failed call for the list is repeated, seconds
 TRIAL_MOST_S = 1.0       # longest pause between trials of a failed node, seconds: its return is found within
 SIGNS = 3                # resets or failed connects in a row, no answer between, before suspicion
 SILENT = 3.0             # mean responses (at least half aims) without any answer, before suspicion
@@ -36,6 +37,7 @@
 VOLUMES_MOST = 4096      # volumes remembered, whatever comes
 _PEER = struct.Struct(">BQfI")   # what, volume, units, when asked for (asker's clock, milliseconds)
 _WANT, _LEND, _NONE = 1, 2, (0, 0, 0.0, 0)
+_ASK = 2**63             # the token of the timer for the next call for the list
 
 
 @dataclass(slots=True, eq=False)
@@ -122,6 +124,7 @@
     failed: int = 0             # bad signs in a row; over 0: only trials
     trial_at: float = 0.0
     born: float | None = None   # latest time at which the node may have started cold; None: long ago
+    guess: bool = False         # no list tells of that start: a saved one alone proves nothing
     shut: bool = False          # it took no connection since it last answered
     away: float = 0.0           # when it last began to fail
     served: float = 0.0         # units, since the head's start
@@ -165,9 +168,13 @@
     def _on_list(self, event: NodeList) -> None:
         saved = event.kind is ListKind.SAVED
         if event.kind is ListKind.FAILED:
-            # Re-asked well inside must_ask_in, each head after a pause of its own: all at once are all late.
-            self.ask_at = self.now + self.random.uniform(0.3, 0.6) * max(self.s.must_ask_in / 8, self.look)
-            return self._tick()
+            # Re-asked well inside must_ask_in and, whatever that is, soon, as what is missed counts as told
+            # all the same: where lists are pushed at once, so inside the grace. Each head after its own
+            # pause, lest all be late. Harm: calls to a dead service.
+            most = self.s.must_ask_in / 8 if self.s.must_ask else self.s.drain_grace / 2
+            pause = self.random.uniform(0.5, 1.0) * min(most or ASK_MOST_S, ASK_MOST_S)
+            self.ask_at = self.now + pause
+            return self.acts.append(SetTimer(pause, _ASK))
         known = self.nodes if event.kind is ListKind.CHANGES else {}
         known.update((entry.node, entry) for entry in event.entries)
         self.nodes = {n: entry for n, entry in known.items() if entry.phase is not Phase.GONE}
@@ -197,10 +204,11 @@
             self._replace(lane)
 
     def _age(self, lane: _Lane, started: float, saved: bool) -> None:
-        """Since when the node may be cold. A saved list proves nothing; a live one settles it, but for a node
+        """Since when the node may be cold. A saved list proves no age; a live one settles it, but for a node
         that was away: it may have restarted since, until the list tells of a later start."""
         young = started > 0 and self.now - started < self.s.warm_after + self.s.fall
-        if saved:
+        lane.guess = saved and not young
+        if lane.guess:
             lane.born = self.now
         elif self.unsure or lane.born is None or started >= lane.away:
             lane.born = min(started, self.now) if young else None
@@ -396,9 +404,12 @@
         lane.heard = lane.heard if lane.out else self.now
         lane.out[job.req.id, len(job.tries)] = self.now
         lane.flows[job.req.volume].out += 1
+        # A repeat that waits for its connection must not outlive the window in which nodes drop it.
+        doubt = job.doubt() if job.cls.effect is Effect.KEYED else []
+        within = doubt[0].sent + job.cls.window - 2 * self.s.tick - self.now if doubt else 0.0
         job.tries.append(_Attempt(lane.node, self.now))
         # Past its aim it only keeps others waiting at the node: nodes drop what is out of time, or stop it.
-        self.acts.append(Send(job.req.id, lane.node, max(job.wanted - self.now, self.look)))
+        self.acts.append(Send(job.req.id, lane.node, max(job.wanted - self.now, self.look), within))
 
     def _cold_room(self, lane: _Lane) -> bool:
         """May a node that may have just started be sent one more request by this head?
@@ -406,18 +417,21 @@
         An answer gives its units back, so sends follow what the node does. Beyond that they grow by a part of
         what each head had served there (all together: what such a node bore): the warm part times half the
         rule's multiple less one, half being for chance; so the sum stays within the multiple of its power.
-        Drawn starts, lest all begin at once; a head with a saved list alone begins with one request."""
+        A head younger than the node has its even part of half of what such a node surely bears.
+        Drawn starts, lest all begin at once; where no list tells of a start it begins with one request."""
         age = math.inf if lane.born is None else self.now - lane.born - self.s.fall
         if lane.born is None or age >= self.s.warm_after:
             lane.born = None
             return True
         if lane.credited < lane.born - self.s.fall:
-            first = self.s.mean_units * (not self.unsure)
+            first = self.s.mean_units * (not lane.guess)
             lane.credited, lane.credit = lane.born - self.s.fall, -first * self.random.random()
         usual = lane.served / max(lane.born - self.since, self.s.warm_after)
         warm = self.s.cold_capacity + (1 - self.s.cold_capacity) * max(0.0, age) / self.s.warm_after
-        grown = (self.s.fall_multiple - 1) / 2 * warm * usual * (self.now - lane.credited)
-        lane.credited, lane.credit = self.now, min(0.0, lane.credit + grown)
+        sure = self.s.young_limit / 2 / self.s.fall / self.s.heads * (self.since > lane.born)
+        grown = max((self.s.fall_multiple - 1) / 2 * warm * usual, sure)
+        lane.credit = min(0.0, lane.credit + grown * (self.now - lane.credited))
+        lane.credited = self.now
         return lane.credit >= 0
 
     def _shed(self, lane: _Lane) -> None:
@@ -594,7 +608,7 @@
             return True
         if job.cls.effect is Effect.UNSAFE or node is None:
             return job.cls.effect is Effect.KEYED and job.cls.group is Group.ALL
-        if self.now + 2 * self.s.tick > doubt[0].sent + job.cls.window:
+        if self.now + 2 * self.s.tick >= doubt[0].sent + job.cls.window:
             return False
         if job.cls.group is Group.ALL or {t.node for t in doubt} == {node}:
             return True
@@ -651,13 +665,15 @@
         self.ticking = True
 
     def _on_look(self, event: Timer) -> None:
+        if event.token == _ASK:
+            if self.now + 2 * self.s.tick >= self.ask_at:
+                self.ask_at = math.inf
+                self.acts.append(Watch(True) if self.s.must_ask else FetchList())
+            return
         if event.token:                 # else: now and then, what only the passing of time changes
             due = self.jobs.get(event.token - 1)
             return self._end(due) if due and due.held and due.ends <= self.now + 4 * self.s.tick else None
         self.ticking = False
-        if self.now >= self.ask_at:
-            self.ask_at = math.inf
-            self.acts.append(Watch(True) if self.s.must_ask else FetchList())
         for lane in [self.busy[cell] for cell in sorted(self.busy)]:
             patience = SILENT * max(self.least_aim / 2, lane.response)      # slow is not dead
             if lane.out and lane.sound() and self.now - lane.heard > patience:
@@ -673,7 +689,7 @@
                 lane.active.clear()
                 del self.busy[lane.cell]
         self._forget()
-        if self.jobs or self.ask_at < math.inf:
+        if self.jobs:
             self._tick()
 
     def _forget(self) -> None:
--- a/fawnspool/head/core.py
+++ b/fawnspool/head/core.py
@@ -6,6 +6,7 @@
 """
 from __future__ import annotations
 
+import math
 import time
 from collections.abc import Callable
 from dataclasses import dataclass, replace
@@ -64,6 +65,7 @@
     connect_timeout: float
     idle_close: float
     lenient: bool = False       # bytes behind a whole answer do not spoil it (see `net.client.Link`)
+    cooldown: float = 0.0         # a connection rests so long between two requests
 
 
 class Core:
@@ -225,7 +227,8 @@
             return
         now = time.monotonic()
         limit = now + action.timeout if action.timeout > 0 else pending.deadline
-        attempt = Attempt(len(pending.attempts), action.node, now, min(limit, pending.deadline))
+        attempt = Attempt(len(pending.attempts), action.node, now, min(limit, pending.deadline),
+                          now + action.write_within if action.write_within > 0 else math.inf)
         if not pending.attempts:
             self.metrics.waited(pending.cls, now - pending.came)
         pending.attempts.append(attempt)
@@ -247,6 +250,8 @@
             if outcome.answer is not None:
                 pending.cell = known.cell
         attempt.ending = outcome.ending
+        if outcome.ending is Ending.CLIENT_GONE:
+            self.give_up(pending)
         self.loop.tell(lambda: self._ended(pending, attempt, outcome))
 
     def _ended(self, pending: Pending, attempt: Attempt, outcome: Outcome) -> i.Outcome:
@@ -317,9 +322,18 @@
         pool = self.pools.get(where)
         if pool is None:
             n = self.bounds
-            pool = self.pools[where] = Pool(where, n.most, n.connect_timeout, n.idle_close, lenient=n.lenient)
+            pool = self.pools[where] = Pool(where, n.most, n.connect_timeout, n.idle_close, lenient=n.lenient,
+                                            cooldown=n.cooldown)
         return pool
 
+    def close_one_idle(self) -> bool:
+        """Close a connection to a node that no request uses now; False: there is none."""
+        for pool in self.pools.values():
+            if pool.idle:
+                pool.drop(pool.idle.popleft())
+                return True
+        return False
+
     def _close_idle(self, action: i.CloseIdle) -> None:
         known = self.list.nodes.get(action.node)
         if known is not None and known.address in self.pools:
--- a/fawnspool/net/client.py
+++ b/fawnspool/net/client.py
@@ -7,6 +7,8 @@
 from collections.abc import Callable
 from typing import Any
 
+import gevent
+
 from fawnspool.net.http import END, BadMessage, Limits, ResponseParser, Status, request_bytes
 from fawnspool.net.wire import Wire, connect
 
@@ -103,11 +105,12 @@
 
 
 class Pool:
-    """Links to one address: at most `most` open at once, idle ones kept for `idle_close` seconds."""
+    """Links to one address: at most `most` open at once, idle ones kept for `idle_close` seconds. cooldown: seconds for
+    which a link rests between two requests, so that what comes late of the one is not taken for the other's."""
 
     def __init__(self, address: tuple[str, int], most: int, connect_timeout: float, idle_close: float,
-                 on_open: Callable[[], None] | None = None, lenient: bool = False) -> None:
-        self.address, self.most, self.lenient = address, most, lenient
+                 on_open: Callable[[], None] | None = None, lenient: bool = False, cooldown: float = 0.0) -> None:
+        self.address, self.most, self.lenient, self.cooldown = address, most, lenient, cooldown
         self.connect_timeout, self.idle_close = connect_timeout, idle_close
         self.idle: deque[Link] = deque()
         self.open = 0
@@ -115,12 +118,24 @@
 
     def at(self, address: tuple[str, int]) -> Pool:
         """An empty pool of the same bounds for another address."""
-        return Pool(address, self.most, self.connect_timeout, self.idle_close, self.on_open, self.lenient)
+        return Pool(address, self.most, self.connect_timeout, self.idle_close, self.on_open, self.lenient,
+                    self.cooldown)
 
     def take(self, deadline: float) -> Link:
         """An idle link that is still whole, or a new one. Raises NotReached (also where all are in use)."""
         while self.idle:
-            link = self.idle.pop()
+            # The one used last, as the others may then be given back, but for those that still cool down.
+            cool = time.monotonic() - self.cooldown
+            at = next((k for k in range(len(self.idle) - 1, -1, -1) if self.idle[k].used <= cool), -1)
+            link = self.idle[at]
+            del self.idle[at]
+            rest = link.used - cool
+            if rest > 0:
+                try:
+                    gevent.sleep(min(rest, max(0.0, deadline - time.monotonic())))
+                except BaseException:
+                    self.drop(link)
+                    raise
             if not link.stale() and time.monotonic() - link.used < self.idle_close:
                 link.fresh = False
                 return link
--- a/fawnspool/relay/program.py
+++ b/fawnspool/relay/program.py
@@ -5,14 +5,14 @@
 import math
 import signal
 import time
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
 from dataclasses import replace
 from typing import Any
 
 import gevent
 from gevent.event import Event
 
-from fawnspool.connections.decide import IDLE_SHARE, ending, places
+from fawnspool.connections.decide import COOLDOWN, IDLE_SHARE, ending, places
 from fawnspool.control import Controller
 from fawnspool.head.core import Core, PoolBounds
 from fawnspool.relay.config import ConfigError, RelayConfig, load
@@ -39,9 +39,9 @@
         bounds = places(config.sockets, s.cells)
         self.core = Core(s, Controller(s, config.seed), ShelfSpeech(s),
                          PoolBounds(bounds.node, s.connect_timeout or 0.25, IDLE_SHARE * config.idle_close,
-                                    lenient=True), Sums(), self.log)
+                                    lenient=True, cooldown=COOLDOWN), Sums(), self.log)
         self.discovery = self.core.list = Discovery(config.discovery, config.zones, config.kinds, self.core.loop.tell,
-                                                    self.log)
+                                                    self.log, self.free_descriptor)
         self.front = Front(self.core, s, config.listen, bounds)
         self.ended = Event()
         self.teller: Any = None
@@ -84,16 +84,24 @@
                 f"h{x.held} o{len(x.out)} r{x.response * 1000:.0f} w{x.wait * 1000:.0f}"
                 for x in lanes if x.node is not None]
 
+    def free_descriptor(self) -> bool:
+        """Close a connection that can be spared, a client's or one to a shelf: its descriptor is needed more."""
+        return self.front.server.evict_idle() or self.core.close_one_idle()
+
     def reload(self) -> None:
         """SIGHUP: the file was replaced. What can change under load is where discovery is; the rest needs a restart."""
-        try:
-            new = load(self.path, self.environ)
-        except ConfigError as bad:
-            self.log.error("the new configuration is not taken", error=str(bad))
-            return
+        while True:
+            try:
+                new = load(self.path, self.environ)
+                break
+            except ConfigError as bad:
+                if bad.no_descriptor and self.free_descriptor():
+                    continue
+                self.log.error("the new configuration is not taken", error=str(bad))
+                return
         if new.discovery != self.config.discovery:
-            self.discovery.move(new.discovery)
             self.config = replace(self.config, discovery=new.discovery)
+            self.discovery.move(new.discovery)
 
     def drain(self) -> None:
         """SIGTERM: go on serving the clients that still come, as nobody else has what their volumes need, until the
@@ -123,8 +131,8 @@
         self.core.stop()
 
 
-def main(environ: Mapping[str, str]) -> int:
-    """Run until SIGTERM or SIGINT; the program's exit status."""
+def main(environ: Mapping[str, str], early: Sequence[Any] = ()) -> int:
+    """Run until SIGTERM or SIGINT; the program's exit status. early: SIGHUPs that came before their handler stood."""
     logs.set_up("json")
     log: Any = logs.get()
     path = environ.get("RELAY_CONFIG", "")
@@ -140,6 +148,8 @@
     gevent.signal_handler(signal.SIGTERM, program.drain)
     gevent.signal_handler(signal.SIGINT, program.ended.set)
     program.start()
+    if early:
+        program.reload()                # the file may have been replaced behind our first reading
     program.log.info("serving", listen="{}:{}".format(*program.config.listen), sockets=program.config.sockets)
     gc.collect()
     gc.freeze()                         # what stands now is never garbage: full collections look at the rest alone
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -446,3 +446,59 @@
     for ident in owed.keys() - gone:
         job = h.control.jobs.get(ident)
         assert ident in h.ends or (job is not None and any(t.open for t in job.tries))
+
+
+def test_a_repeat_says_until_when_its_node_drops_it(head: Callable[..., Head]) -> None:
+    """Brink, zone: a repeat that waited for its connection reached its node behind the window."""
+    h = head(classes=(make_class(effect=Effect.KEYED, group=Group.CELL, window=1.0),))
+    ident = h.ask(1, patience=4.0)
+    assert h.sends[-1][1].write_within == 0.0           # a first attempt has no such bound
+    h.run(h.now + 0.75)
+    h.answer(ident, Result.BROKEN)
+    assert h.tries[ident] == 2 and h.sends[-1][1].write_within == pytest.approx(0.25 - 2 * 0.002)
+    h.run(h.now + 0.1)
+    h.answer(ident, Result.UNREACHED)                   # never ran: the first still counts
+    assert h.sends[-1][1].write_within == pytest.approx(0.15 - 2 * 0.002)
+    h.run(h.now + 0.147)
+    h.answer(ident, Result.UNREACHED)
+    assert h.tries[ident] == 3 and ident in h.ends      # at the very end of the window: no more
+
+
+def test_safe_repeats_and_those_of_what_never_ran_have_no_window(head: Callable[..., Head]) -> None:
+    for effect, result in ((Effect.SAFE, Result.BROKEN), (Effect.KEYED, Result.FULL), (Effect.UNSAFE, Result.FULL)):
+        h = head(classes=(make_class(effect=effect, window=1.0),))
+        ident = h.ask(1)
+        h.answer(ident, result)
+        assert h.tries[ident] == 2 and h.sends[-1][1].write_within == 0.0
+
+
+@pytest.mark.parametrize("within", [0.0, 4.0, 10.0, 600.0])
+@pytest.mark.parametrize("aim", [0.1, 4.0, 60.0])
+def test_a_failed_call_for_the_list_is_repeated_soon_whatever_the_settings(within: float, aim: float) -> None:
+    """What is missed counts as told 6 s after it could be had, however rarely the settings want the list asked for."""
+    h = Head(make_settings(must_ask=True, must_ask_in=within, classes=(make_class(aim=aim, deadline=100.0),)))
+    for _ in range(20):
+        failed = h.now
+        h.give(NodeList(ListKind.FAILED, 0, ()))
+        before, acts = len(h.timers), list[object]()
+        while Watch(True) not in acts and h.now < failed + 10:
+            due = min(t for t in h.timers)
+            h.timers.remove(due)
+            h.now = max(h.now, due[0])
+            acts = h.give(Timer(due[1]))
+        assert before and 0.05 < h.now - failed <= 0.81
+
+
+@pytest.mark.parametrize("grace", [0.25, 1.0, 8.0])
+def test_where_lists_are_pushed_a_broken_watch_is_opened_inside_the_grace(grace: float) -> None:
+    """What the service has counts as told at once there, whether or not a watch stands."""
+    h = Head(make_settings(must_ask=False, drain_grace=grace))
+    for _ in range(20):
+        failed, acts = h.now, list[object]()
+        h.give(NodeList(ListKind.FAILED, 0, ()))
+        while FetchList() not in acts and h.now < failed + 10:
+            due = min(h.timers)
+            h.timers.remove(due)
+            h.now = max(h.now, due[0])
+            acts = h.give(Timer(due[1]))
+        assert 0.05 < h.now - failed <= min(0.81, grace / 2 + 0.01)
