--- a/benchmarks/acceptance.py
+++ b/benchmarks/acceptance.py
@@ -1,4 +1,5 @@
 """A table of the platform bench's reports, a line a day and seed: python -m benchmarks.acceptance REPORT.json ...
+With `compare BEFORE AFTER` (folders, reports of the same names): what is served more by kind of day, day against day.
 
 Each report is what the bench wrote with --json. served and wanted: shares of the day's worth; of classes and tenants
 the one nearest to what is wanted of it; thirds: in time of what was offered, over the day's windows. The reports do not
@@ -7,7 +8,10 @@
 from __future__ import annotations
 
 import json
+import math
+import statistics
 import sys
+from collections import defaultdict
 from pathlib import Path
 from typing import Any
 
@@ -49,5 +53,25 @@
             print(line(Path(path).stem, day))
 
 
+def served(folder: str) -> dict[tuple[str, str], float]:
+    return {(path.stem, day["name"]): day["row"]["served"]
+            for path in sorted(Path(folder).glob("*.json")) for day in json.loads(path.read_text())["days"]}
+
+
+def compare(before: str, after: str) -> None:
+    old, new = served(before), served(after)
+    kinds: dict[str, list[float]] = defaultdict(list)
+    for name in old.keys() & new.keys():
+        kinds[name[1].rpartition("-")[0]].append(new[name] - old[name])
+    print("| kind of day | days | served more, mean | standard error |")
+    print("| --- | --- | --- | --- |")
+    for kind, more in sorted(kinds.items()):
+        error = statistics.stdev(more) / math.sqrt(len(more)) if len(more) > 1 else math.nan
+        print(f"| {kind} | {len(more)} | {statistics.mean(more):+.4f} | {error:.4f} |")
+
+
 if __name__ == "__main__":
-    main(sys.argv[1:])
+    if sys.argv[1:2] == ["compare"]:
+        compare(*sys.argv[2:4])
+    else:
+        main(sys.argv[1:])
