--- a/fawnspool/connections/decide.py
+++ b/fawnspool/connections/decide.py
@@ -16,6 +16,9 @@
 COOLDOWN = 0.02         # a second answer may follow the first some milliseconds late: until then no request goes there
 QUIET = 2.2             # rude clients are owed a close within 3 s; without a request 2 s are owed to any
 KEPT = 4.0              # usual clients come back to a connection that has carried a request
+WATCH_BEATS = 1.75      # a watch whose heartbeat is three quarters of one late has fallen silent
+CALL_BEATS = 1.25       # a call in vain just before the list service is back leaves time for two more
+OLDER = 3               # lists older than what is held, one after the other: then the service counts anew
 SPARE = 0.3             # before it may be killed a head has answered all for so long
 LAST = 0.2              # what comes last has so long for its answer
 
@@ -75,3 +78,32 @@
     kill = told + killed_after
     answered = max(told, kill - SPARE)
     return Ending(told + 2 * new_for, max(told, answered - LAST), answered, max(told, kill - SPARE / 2))
+
+
+@dataclass(frozen=True)
+class WatchTimes:
+    """Seconds: without a whole line after which a watch has fallen silent; in which a call must have its answer and a
+    watch its head, connection included."""
+
+    silence: float
+    call: float
+
+
+def watch_times(heartbeat: float) -> WatchTimes:
+    """What a silent watch misses counts as told three heartbeats after it fell silent, and any change as long after the
+    service had it and could be reached. Harm: a service that is later than this for a while is called anew."""
+    return WatchTimes(WATCH_BEATS * heartbeat, CALL_BEATS * heartbeat)
+
+
+def reopens(began: bool, silent: bool) -> bool:
+    """Is a watch that ended opened anew at once, and not when the module says? Only one that stood and fell silent:
+    there is no time for a pause, and heads notice it as far apart as their heartbeats are. Guards against news that
+    counts as told before it is heard. Harm: none that a pause would spare, as each costs its silence first."""
+    return began and silent
+
+
+def believes_older(in_a_row: int) -> bool:
+    """Is a whole list older than the one held to be taken? An answer made before a change that is known must not bring
+    back a node that drains; a service that lost its count must not be refused for ever. Harm: the news of a service
+    that counts anew comes two calls late."""
+    return in_a_row >= OLDER
--- a/fawnspool/head/listlink.py
+++ b/fawnspool/head/listlink.py
@@ -12,6 +12,7 @@
 import gevent
 
 from fawnspool import interface as i
+from fawnspool.connections.decide import reopens
 from fawnspool.net.client import Broken, Link, NoPlace, Pool, call
 from fawnspool.net.http import request_bytes
 
@@ -133,7 +134,7 @@
                 link, began = self._open_watch(pool)
                 self._follow(link, began)
             except Exception as bad:
-                if link is not None and isinstance(bad, TimeoutError) and self.watching is me:
+                if self.watching is me and reopens(link is not None, isinstance(bad, TimeoutError)):
                     self.log.warning("a watch fell silent and is opened anew")
                     continue
                 if self.watching is me:
--- a/fawnspool/relay/discovery.py
+++ b/fawnspool/relay/discovery.py
@@ -9,16 +9,11 @@
 from typing import Any
 
 from fawnspool import interface as i
+from fawnspool.connections.decide import believes_older, watch_times
 from fawnspool.head.listlink import ListLink
 
 PLACE = b"/catalog/members"
 HEARTBEAT_S = 2.0            # while nothing changes, a watch says so this often (PROTOCOL, Discovery)
-# What a silent watch misses counts as told 6 s after it fell silent, and any change 6 s after discovery had it and
-# could be reached (STANDING). So a beat that is 1.5 s late is a silence; and a call that was sent in vain just before
-# discovery was back leaves time for two more, which it answers or refuses within a second or so.
-WATCH_TIMEOUT_S = 1.75 * HEARTBEAT_S
-CALL_TIMEOUT_S = 1.25 * HEARTBEAT_S
-OLDER = 3               # lists older than what is held, one after the other: then the service counts anew
 _PHASES = {"active": i.Phase.READY, "leaving": i.Phase.DRAINING, "left": i.Phase.GONE}
 
 
@@ -37,7 +32,8 @@
 
     def __init__(self, address: tuple[str, int], zones: tuple[str, ...], kinds: tuple[str, ...],
                  tell: Callable[[Any], None], log: Any, free_descriptor: Callable[[], bool] = lambda: False) -> None:
-        super().__init__(address, CALL_TIMEOUT_S, WATCH_TIMEOUT_S, tell, log, free_descriptor)
+        times = watch_times(HEARTBEAT_S)
+        super().__init__(address, times.call, times.silence, tell, log, free_descriptor)
         self.zones, self.kinds = zones, kinds
         self.nodes: dict[int, Shelf] = {}
         self.numbers: dict[str, int] = {}
@@ -90,10 +86,8 @@
         if version < self.version:
             if not whole:
                 return          # heard before
-            # An answer that was made before a change that is known, or a service that lost its count. The first must
-            # not bring back a node that drains, the second not be refused for ever.
             self.older += 1
-            if self.older < OLDER:
+            if not believes_older(self.older):
                 raise ValueError(f"a list of {version}, older than {self.version}")
         self.older = 0
         self._apply(told, i.ListKind.WHOLE if whole else i.ListKind.CHANGES)
--- a/tests/e2e/test_crossings.py
+++ b/tests/e2e/test_crossings.py
@@ -24,10 +24,11 @@
 from gevent.event import Event
 
 from fawnspool import interface as i
+from fawnspool.connections.decide import watch_times
 from fawnspool.head.listlink import ObjectSplitter
 from fawnspool.net import client as net_client
 from fawnspool.net.wire import Wire
-from fawnspool.relay.discovery import CALL_TIMEOUT_S, HEARTBEAT_S, WATCH_TIMEOUT_S
+from fawnspool.relay.discovery import HEARTBEAT_S
 from fawnspool.standins.platform import DiscoveryServer
 from tests.e2e.relayrig import SETTINGS, WATCH, RawDiscovery, RelayRig, chunk, headers, plain_sock, text
 from tests.e2e.rig import wait_for
@@ -561,7 +562,8 @@
 
 def test_the_silence_of_the_platform_leaves_time_for_calls() -> None:
     """6 s from when a watch fell silent: its last beat may be as old then as nothing, so the whole silence counts."""
-    assert HEARTBEAT_S < WATCH_TIMEOUT_S and WATCH_TIMEOUT_S + CALL_TIMEOUT_S <= 6.0
+    times = watch_times(HEARTBEAT_S)
+    assert times.silence > HEARTBEAT_S and times.silence + times.call <= 6.0
 
 
 def test_an_object_may_stand_on_several_lines(rig: RelayRig) -> None:
