--- a/tests/e2e/test_moving.py
+++ b/tests/e2e/test_moving.py
@@ -318,6 +318,7 @@
 
 
 def test_a_read_that_is_running_and_a_write_that_comes_slowly_outlive_a_move(rig: Rig) -> None:
+    rig.api.server.piece_timeout = 60.0         # the writer rests while 46 MB move: as long as a busy machine needs
     body = bytes(range(256)) * 180_000          # 46 MB: more than the sockets between hold
     at = put(rig, body=body)
     reader = Client(rig.address)
