--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -287,3 +287,22 @@
         wire.recv(10, time.monotonic() + 0.02, True)
     wire.close()
     theirs.close()
+
+
+@pytest.mark.parametrize("lenient", [False, True])
+def test_the_end_of_a_connection_ends_an_answer_without_a_length_where_the_pool_is_lenient(lenient: bool) -> None:
+    """Our own nodes always name a length, so there an end in the middle is a node that died."""
+    listener = socket.create_server(("127.0.0.1", 0))
+    pool = Pool(listener.getsockname(), 1, 1.0, 5.0, lenient=lenient)
+    link = pool.take(time.monotonic() + 1)
+    peer, _ = listener.accept()
+    peer.sendall(b"HTTP/1.1 200 OK\r\n\r\nall of it")
+    peer.close()
+    listener.close()
+    assert link.begin_answer(time.monotonic() + 1).length is None
+    if lenient:
+        assert link.body(time.monotonic() + 1) == b"all of it" and link.surplus
+    else:
+        with pytest.raises(Broken):
+            link.body(time.monotonic() + 1)
+    pool.drop(link)
