--- a/fawnspool/head/core.py
+++ b/fawnspool/head/core.py
@@ -106,9 +106,11 @@
             due = time.monotonic() + _SWEEP
             gevent.sleep(_SWEEP)
             self.metrics.lag.add(max(0.0, time.monotonic() - due))
-            self._now_and_then()
-            self._prune()
-            self._look_for_left()
+            for look in (self._now_and_then, self._prune, self._look_for_left):
+                try:
+                    look()
+                except Exception:       # a head that looks no more goes on, and keeps all that it should give back
+                    self.log.error("a look failed", look=look.__name__, exc_info=True)
 
     def _now_and_then(self) -> None:
         """What else an edge looks at on every sweep."""
--- a/fawnspool/head/loop.py
+++ b/fawnspool/head/loop.py
@@ -67,12 +67,11 @@
             handled = 0
             while self.inbox and handled < 64:      # then look at the timers, however full the queue is
                 event = self.inbox.popleft()
-                if callable(event):
-                    event = event()
-                    if event is None:
-                        continue
-                self._handle(event)
                 handled += 1
+                if callable(event):
+                    event = self._made(event)
+                if event is not None:
+                    self._handle(event)
             now = time.monotonic()
             while self.timers and self.timers[0][0] <= now:
                 due, _, token = heapq.heappop(self.timers)
@@ -91,6 +90,14 @@
             self.flag.wait(self.timers[0][0] if self.timers else None)
             self.asleep = False
 
+    def _made(self, make: Callable[[], Any]) -> Any:
+        """The event that is made in its turn, or None. The loop must outlive whatever making it meets."""
+        try:
+            return make()
+        except Exception:
+            self.log.error("an event could not be made", exc_info=True)
+            return None
+
     def _record(self) -> None:
         """Write on; a recording that can't be written costs the recording, never a request."""
         assert self.recorder is not None
--- a/fawnspool/net/server.py
+++ b/fawnspool/net/server.py
@@ -357,6 +357,13 @@
                         gevent.sleep(FULL_S)
                         continue
                 sock, peer = self.sock.accept()
+                if len(self.open) >= self.most and not self.evicts:
+                    sock.close()
+                    continue
+                plain = std.socket(fileno=sock.detach())
+                plain.setsockopt(std.IPPROTO_TCP, std.TCP_NODELAY, 1)
+                conn = Connection(self, Wire(plain), peer)
+                self.open[conn] = gevent.spawn(self._run, conn)
             except OSError as bad:
                 if self.stopping:
                     return
@@ -366,14 +373,6 @@
                         gevent.sleep(FULL_S)
                 elif not self.evicts or not self.evict_idle():
                     gevent.sleep(FULL_S)        # out of descriptors: wait for one to be closed
-                continue
-            if len(self.open) >= self.most and not self.evicts:
-                sock.close()
-                continue
-            plain = std.socket(fileno=sock.detach())
-            plain.setsockopt(std.IPPROTO_TCP, std.TCP_NODELAY, 1)
-            conn = Connection(self, Wire(plain), peer)
-            self.open[conn] = gevent.spawn(self._run, conn)
 
     def evict_idle(self) -> bool:
         """Close the connection that has waited longest, of the kind that makes room; False: none waits. One whose
--- a/tests/e2e/test_crossings.py
+++ b/tests/e2e/test_crossings.py
@@ -27,6 +27,7 @@
 from fawnspool.connections.decide import watch_times
 from fawnspool.head.listlink import ObjectSplitter
 from fawnspool.net import client as net_client
+from fawnspool.net import server as net_server
 from fawnspool.net.wire import Wire
 from fawnspool.relay.discovery import HEARTBEAT_S
 from fawnspool.standins.platform import DiscoveryServer
@@ -387,6 +388,44 @@
     assert rig.client().ask("GET", "/read", **headers("r2")).status == 200 and failed
 
 
+def test_a_connection_that_fails_as_it_is_set_up_is_not_the_last(
+        rig: RelayRig, monkeypatch: pytest.MonkeyPatch) -> None:
+    failed = list[int]()
+
+    def odd(sock: std.socket) -> Wire:
+        if not failed:
+            failed.append(1)
+            sock.close()
+            raise OSError(os.EX_PROTOCOL, "odd")
+        return Wire(sock)
+
+    monkeypatch.setattr(net_server, "Wire", odd)
+    sock = plain_sock(rig.listen)
+    wait_for(lambda: failed)
+    sock.close()
+    assert rig.client().ask("GET", "/read", **headers("r2")).status == 200
+
+
+def test_no_single_fault_ends_the_modules_loop_or_the_sweep(rig: RelayRig, monkeypatch: pytest.MonkeyPatch) -> None:
+    failed, prune = list[int](), rig.core._prune
+
+    def odd() -> None:
+        if not failed:
+            failed.append(1)
+            raise KeyError("odd")
+        prune()
+
+    monkeypatch.setattr(rig.core, "_prune", odd)
+    rig.core.loop.tell(lambda: failed[99])
+    wait_for(lambda: failed)
+    assert rig.client().ask("GET", "/read", **headers("r1")).status == 200
+    rig.shelfs[0].hold.clear()
+    sock = rig.raw(text("/read", headers("r2")))
+    wait_for(lambda: rig.asked() == ["r1", "r2"])
+    sock.close()
+    gone(rig)                                       # seen by the sweep alone
+
+
 # ------------------------------------------------------------------ the end
 
 
