--- a/fawnspool/connections/decide.py
+++ b/fawnspool/connections/decide.py
@@ -21,6 +21,8 @@
 OLDER = 3               # lists older than what is held, one after the other: then the service counts anew
 SPARE = 0.3             # before it may be killed a head has answered all for so long
 LAST = 0.2              # what comes last has so long for its answer
+REREAD = 0.1            # seconds until a configuration that is not whole is read again, and how often
+REREADS = 10
 
 
 @dataclass(frozen=True)
@@ -107,3 +109,9 @@
     back a node that drains; a service that lost its count must not be refused for ever. Harm: the news of a service
     that counts anew comes two calls late."""
     return in_a_row >= OLDER
+
+
+def reads_again(tries: int) -> float | None:
+    """Seconds after which a configuration that was not whole is read again; None: no more. Guards against a file that
+    is just being written when a signal or a start comes. Harm: a bad one is refused a second later."""
+    return REREAD if tries < REREADS else None
--- a/fawnspool/relay/config.py
+++ b/fawnspool/relay/config.py
@@ -14,11 +14,11 @@
 
 class ConfigError(Exception):
     """The configuration can't be used; the text names the file, the place and what was expected. no_descriptor: there
-    was none left to read it with."""
+    was none left to read it with. not_whole: there was no file, or not to its end: it may just be written."""
 
-    def __init__(self, text: str, no_descriptor: bool = False) -> None:
+    def __init__(self, text: str, no_descriptor: bool = False, not_whole: bool = False) -> None:
         super().__init__(text)
-        self.no_descriptor = no_descriptor
+        self.no_descriptor, self.not_whole = no_descriptor, not_whole
 
 
 @dataclass(frozen=True)
@@ -43,9 +43,9 @@
         tree = json.loads(Path(path).read_text(encoding="utf-8"))
     except OSError as bad:
         raise ConfigError(f"{path}: {bad.strerror}; RELAY_CONFIG names the configuration",
-                          bad.errno in (errno.EMFILE, errno.ENFILE)) from None
+                          bad.errno in (errno.EMFILE, errno.ENFILE), bad.errno == errno.ENOENT) from None
     except (ValueError, RecursionError) as bad:
-        raise ConfigError(f"{path}: not JSON: {bad}") from None
+        raise ConfigError(f"{path}: not JSON: {bad}", not_whole=True) from None
     if not isinstance(tree, dict):
         raise ConfigError(f"{path}: expected an object")
     settings = tree.get("settings")
--- a/fawnspool/relay/program.py
+++ b/fawnspool/relay/program.py
@@ -5,14 +5,14 @@
 import math
 import signal
 import time
-from collections.abc import Mapping, Sequence
+from collections.abc import Callable, Mapping, Sequence
 from dataclasses import replace
 from typing import Any
 
 import gevent
 from gevent.event import Event
 
-from fawnspool.connections.decide import COOLDOWN, IDLE_SHARE, ending, places
+from fawnspool.connections.decide import COOLDOWN, IDLE_SHARE, ending, places, reads_again
 from fawnspool.control import Controller
 from fawnspool.head.core import Core, PoolBounds
 from fawnspool.relay.config import ConfigError, RelayConfig, load
@@ -90,15 +90,11 @@
 
     def reload(self) -> None:
         """SIGHUP: the file was replaced. What can change under load is where discovery is; the rest needs a restart."""
-        while True:
-            try:
-                new = load(self.path, self.environ)
-                break
-            except ConfigError as bad:
-                if bad.no_descriptor and self.free_descriptor():
-                    continue
-                self.log.error("the new configuration is not taken", error=str(bad))
-                return
+        try:
+            new = read_whole(self.path, self.environ, self.free_descriptor)
+        except ConfigError as bad:
+            self.log.error("the new configuration is not taken", error=str(bad))
+            return
         if new.discovery != self.config.discovery:
             self.config = replace(self.config, discovery=new.discovery)
             self.discovery.move(new.discovery)
@@ -131,13 +127,30 @@
         self.core.stop()
 
 
+def read_whole(path: str, environ: Mapping[str, str], free_descriptor: Callable[[], bool] = lambda: False
+               ) -> RelayConfig:
+    """The configuration, read again while it may just be written. Raises ConfigError."""
+    tries = 0
+    while True:
+        try:
+            return load(path, environ)
+        except ConfigError as bad:
+            if bad.no_descriptor and free_descriptor():
+                continue
+            tries += 1
+            pause = reads_again(tries) if bad.not_whole else None
+            if pause is None:
+                raise
+            gevent.sleep(pause)
+
+
 def main(environ: Mapping[str, str], early: Sequence[Any] = ()) -> int:
     """Run until SIGTERM or SIGINT; the program's exit status. early: SIGHUPs that came before their handler stood."""
     logs.set_up("json")
     log: Any = logs.get()
     path = environ.get("RELAY_CONFIG", "")
     try:
-        program = Program(load(path, environ), path, environ)
+        program = Program(read_whole(path, environ), path, environ)
     except ConfigError as bad:
         log.error("can't start", error=str(bad))
         return 2
@@ -149,7 +162,7 @@
     gevent.signal_handler(signal.SIGINT, program.ended.set)
     program.start()
     if early:
-        program.reload()                # the file may have been replaced behind our first reading
+        gevent.spawn(program.reload)    # the file may have been replaced behind our first reading
     program.log.info("serving", listen="{}:{}".format(*program.config.listen), sockets=program.config.sockets)
     gc.collect()
     gc.freeze()                         # what stands now is never garbage: full collections look at the rest alone
--- a/tests/e2e/test_crossings.py
+++ b/tests/e2e/test_crossings.py
@@ -30,6 +30,7 @@
 from fawnspool.net import server as net_server
 from fawnspool.net.wire import Wire
 from fawnspool.relay.discovery import HEARTBEAT_S
+from fawnspool.relay.program import read_whole
 from fawnspool.standins.platform import DiscoveryServer
 from tests.e2e.relayrig import SETTINGS, WATCH, RawDiscovery, RelayRig, chunk, headers, plain_sock, text
 from tests.e2e.rig import wait_for
@@ -878,6 +879,35 @@
     assert "Traceback" not in done.stderr
 
 
+@pytest.mark.parametrize("there", ["half", "none"])
+def test_a_new_configuration_that_is_just_written_is_taken_when_it_is_whole(rig: RelayRig, there: str) -> None:
+    """The signal comes between two writes, or between taking the old file away and putting the new one there."""
+    other = DiscoveryServer()
+    other.rows, other.seq = dict(rig.discovery.rows), rig.discovery.seq
+    rig.write(other)
+    whole = rig.path.read_text()
+    if there == "half":
+        rig.path.write_text(whole[:len(whole) // 2])
+    else:
+        rig.path.unlink()
+    reader = gevent.spawn(rig.program.reload)
+    gevent.sleep(0)                                 # it has read once
+    assert not reader.dead and rig.discovery.watchers
+    rig.path.write_text(whole)
+    wait_for(lambda: other.watchers and not rig.discovery.watchers)
+    other.server.stop()
+
+
+def test_a_start_on_a_configuration_that_is_just_written_waits_for_the_rest(rig: RelayRig) -> None:
+    whole = rig.path.read_text()
+    rig.path.write_text(whole[:100])
+    reader = gevent.spawn(read_whole, str(rig.path), {})
+    gevent.sleep(0)
+    assert not reader.dead
+    rig.path.write_text(whole)
+    assert reader.get(timeout=5).discovery == rig.discovery.server.address
+
+
 def test_a_bad_one_on_sighup_is_refused_and_the_old_goes_on(rig: RelayRig) -> None:
     rig.settings = rig.settings | {"classes": []}
     rig.write(DiscoveryServer())
