--- a/fawnspool/net/http.py
+++ b/fawnspool/net/http.py
@@ -21,6 +21,7 @@
     503: b"Service Unavailable", 504: b"Gateway Timeout", 505: b"HTTP Version Not Supported"}
 STATUS_LINES = {code: b"HTTP/1.1 %d %s\r\n" % (code, text) for code, text in REASONS.items()}
 _BEHIND = "bytes behind the answer's end"
+_OWS = b" \t"           # may stand on both sides of a field's value and is no part of it (RFC 9110, 5.5)
 _ONCE = frozenset((b"host", b"content-length", b"transfer-encoding", b"range", b"expect"))
 
 
@@ -85,7 +86,7 @@
         self._grow(len(part), 414)
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        name = name.lower()
+        name, value = name.lower(), value.strip(_OWS)       # llhttp drops what stands before a value alone
         self.count += 1
         self._grow(len(name) + len(value), 431)
         if self.count > self.limits.headers:
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -306,3 +306,11 @@
         with pytest.raises(Broken):
             link.body(time.monotonic() + 1)
     pool.drop(link)
+
+
+def test_space_around_an_answers_field_values_is_no_part_of_them() -> None:
+    parser = ResponseParser(Limits())
+    parser.feed(b"HTTP/1.1 503 No\r\nNot-Started:\t1 \t\r\nServer-Load:  rif=1,lat_ms=2 \r\nContent-Length: 0 \r\n\r\n")
+    status = parser.events[0]
+    assert isinstance(status, Status) and status.headers[b"not-started"] == b"1" and status.length == 0
+    assert status.headers[b"server-load"] == b"rif=1,lat_ms=2" and parser.done
