--- a/fawnspool/connections/decide.py
+++ b/fawnspool/connections/decide.py
@@ -23,6 +23,7 @@
 LAST = 0.2              # what comes last has so long for its answer
 REREAD = 0.1            # seconds until a configuration that is not whole is read again, and how often
 REREADS = 10
+LONG_PART = 8           # one of so many parts of a head's memory may hold long bodies of requests
 
 
 @dataclass(frozen=True)
@@ -115,3 +116,9 @@
     """Seconds after which a configuration that was not whole is read again; None: no more. Guards against a file that
     is just being written when a signal or a start comes. Harm: a bad one is refused a second later."""
     return REREAD if tries < REREADS else None
+
+
+def takes_long(size: int, held: int, memory: int) -> bool:
+    """May one more body that is longer than usual be held, of `size` bytes beside `held` of such? Guards the memory, as
+    clients decide how many come at once. Harm: a long one is refused that would have found room a moment later."""
+    return held + size <= memory // LONG_PART
--- a/fawnspool/relay/config.py
+++ b/fawnspool/relay/config.py
@@ -30,6 +30,7 @@
     discovery: tuple[str, int]
     seed: int
     sockets: int
+    memory: int                 # bytes
     known: Mapping[str, Any]
     settings: Settings
     zones: tuple[str, ...]
@@ -58,6 +59,7 @@
             listen=_address(path, "listen", tree.get("listen") or environ.get("RELAY_LISTEN")),
             discovery=_address(path, "discovery", tree.get("discovery") or environ.get("RELAY_DISCOVERY")),
             seed=_seed(path, tree.get("seed", 0)), sockets=int(limits.get("sockets", 1024)),
+            memory=int(float(limits.get("memory_mb", 192)) * 2**20),
             known=known if isinstance(known, dict) else {}, settings=read_tree(settings),
             zones=_names(settings, "localities"), kinds=_names(settings, "kinds"),
             idle_close=float((settings.get("limits") or {}).get("idle_close", 15.0)))
--- a/fawnspool/relay/front.py
+++ b/fawnspool/relay/front.py
@@ -10,14 +10,14 @@
 import re
 import time
 
-from fawnspool.connections.decide import KEPT, QUIET, Places
+from fawnspool.connections.decide import KEPT, QUIET, Places, takes_long
 from fawnspool.head.core import Core
 from fawnspool.head.pending import Body, Kind, Pending
 from fawnspool.interface import Effect, Request, Settings
 from fawnspool.net.http import BadMessage, Limits
 from fawnspool.net.http import Head as MessageHead
 from fawnspool.net.server import Exchange, Server
-from fawnspool.relay.shelfs import BODY_MOST
+from fawnspool.relay.shelfs import BODY_MOST, BODY_USUAL
 
 HEALTH = b"/_health"
 HEAD_BYTES, HEAD_FIELDS = 8192, 40
@@ -32,8 +32,11 @@
 class Front:
     """Serves the platform's clients on `listen`."""
 
-    def __init__(self, core: Core, settings: Settings, listen: tuple[str, int], places: Places) -> None:
-        self.core, self.settings = core, settings
+    def __init__(self, core: Core, settings: Settings, listen: tuple[str, int], places: Places, memory: int) -> None:
+        """memory: bytes that the head may use in all."""
+        self.core, self.settings, self.memory = core, settings, memory
+        self.long = dict[Exchange, int]()           # bytes of bodies over the usual size in hand
+        self.held = 0                               # their sum
         self.classes = {c.name.encode(): k for k, c in enumerate(settings.classes)}
         self.plans = {p.name.encode(): k for k, p in enumerate(settings.plans)}
         self.open: dict[bytes, Pending] = {}        # by the client's id: one that is open is not taken twice
@@ -71,6 +74,23 @@
             return exchange.respond(200, [_TEXT], b"ok\n")
         if head.length is not None and head.length > BODY_MOST:
             raise BadMessage(413, f"a body has {BODY_MOST} bytes at most")
+        try:
+            self._hold(exchange, head.length or 0)
+            self._request(exchange)
+        finally:
+            self.held -= self.long.pop(exchange, 0)
+
+    def _hold(self, exchange: Exchange, size: int) -> None:
+        """Room for a body of `size` bytes, if that is over the usual. Raises BadMessage."""
+        more = size - self.long.get(exchange, 0)
+        if size > BODY_USUAL and more > 0:
+            if not takes_long(more, self.held, self.memory):
+                raise BadMessage(503, "too many long bodies at once")
+            self.long[exchange] = size
+            self.held += more
+
+    def _request(self, exchange: Exchange) -> None:
+        head = exchange.head
         req, patience = self._read(exchange)
         h = head.headers
         ident = h[b"request-id"]
@@ -129,6 +149,7 @@
             parts.append(piece)
             if exchange.seen > BODY_MOST:
                 raise BadMessage(413, f"a body has {BODY_MOST} bytes at most")
+            self._hold(exchange, exchange.seen)
         return b"".join(parts)
 
     def _finish(self, pending: Pending, exchange: Exchange) -> None:
--- a/fawnspool/relay/program.py
+++ b/fawnspool/relay/program.py
@@ -42,7 +42,7 @@
                                     lenient=True, cooldown=COOLDOWN), Sums(), self.log)
         self.discovery = self.core.list = Discovery(config.discovery, config.zones, config.kinds, self.core.loop.tell,
                                                     self.log, self.free_descriptor)
-        self.front = Front(self.core, s, config.listen, bounds)
+        self.front = Front(self.core, s, config.listen, bounds, config.memory)
         self.ended = Event()
         self.teller: Any = None
 
--- a/fawnspool/relay/shelfs.py
+++ b/fawnspool/relay/shelfs.py
@@ -10,8 +10,8 @@
 from fawnspool.interface import Settings
 from fawnspool.net.http import Status, request_bytes
 
-BODY_MOST = 65536               # bytes of a client's body (PROTOCOL)
-ANSWER_MOST = 1 << 20           # of an answer: good ones of up to 400 KB were seen, though PROTOCOL names 64 KiB
+BODY_USUAL = 65536              # bytes of a body (PROTOCOL)
+BODY_MOST = 1 << 20             # good ones of 112 KB from clients and 400 KB from shelfs were seen all the same
 _NOT_STARTED = b"not-started"
 
 
@@ -19,7 +19,7 @@
     """An answer's report that does not read tells nothing; the answer itself stays good."""
 
     streams = False
-    hold_most = ANSWER_MOST
+    hold_most = BODY_MOST
 
     def __init__(self, settings: Settings) -> None:
         self.fields = settings.load_fields
--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -4,7 +4,17 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from fawnspool.connections.decide import OWN_FILES, Kind, crowded, ending, makes_room, places
+from fawnspool.connections.decide import (
+    LONG_PART,
+    OWN_FILES,
+    Kind,
+    crowded,
+    ending,
+    makes_room,
+    places,
+    reads_again,
+    takes_long,
+)
 
 
 @given(st.integers(128, 4096), st.integers(1, 20))
@@ -33,3 +43,16 @@
     e = ending(told, new_for, killed_after)
     assert told <= e.close <= e.answered <= e.gone <= told + killed_after
     assert e.unused >= told
+
+
+@given(st.lists(st.integers(1, 1 << 20), max_size=200), st.integers(16 << 20, 1 << 30))
+def test_long_bodies_never_hold_more_than_their_part(sizes: list[int], memory: int) -> None:
+    held = 0
+    for size in sizes:
+        held += size * takes_long(size, held, memory)
+    assert held <= memory // LONG_PART and takes_long(1 << 20, 0, memory)
+
+
+def test_a_configuration_is_read_again_for_a_while_only() -> None:
+    pauses = [reads_again(k) for k in range(1, 20)]
+    assert pauses[0] and pauses[-1] is None and 0.5 < sum(p for p in pauses if p) < 2.0
