--- a/fawnspool/relay/front.py
+++ b/fawnspool/relay/front.py
@@ -120,7 +120,7 @@
         cls = self.classes.get(name[0] if name else b"")
         if cls is None:
             raise BadMessage(404, "the first part of the path names no request class")
-        if head.method not in (b"GET", b"PUT"):
+        if head.method not in (b"GET", b"PUT") or (head.method == b"GET" and self.settings.classes[cls].writes):
             raise BadMessage(405, "a read is a GET, a write a PUT")
         plan = self.plans.get(h.get(b"x-plan", b""))
         if plan is None:
--- a/tests/e2e/test_relay.py
+++ b/tests/e2e/test_relay.py
@@ -80,7 +80,8 @@
     "object": ("/read", {"X-Object": "zz"}), "patience": ("/read", {"Request-Timeout-Ms": "-3"}),
     "no number": ("/read", {"Request-Timeout-Ms": "soon"}), "io": ("/read", {"X-IO": "volume=1,units=2"}),
     "units": ("/read", {"X-IO": "volume=1,units=9,shard=0,hosts=1"}),
-    "shard": ("/read", {"X-IO": "volume=1,units=1,shard=2,hosts=1"}), "no key": ("/note", {})}
+    "shard": ("/read", {"X-IO": "volume=1,units=1,shard=2,hosts=1"}), "no key": ("PUT /note", {}),
+    "a read of what writes": ("/note", {"Idempotency-Key": "k"}), "method": ("POST /read", {})}
 
 
 @pytest.mark.parametrize("framing", ["length", "chunked", "expect"])
@@ -136,7 +137,8 @@
 def test_what_does_not_read_is_answered_and_goes_no_further(rig: RelayRig, case: str) -> None:
     target, change = BAD[case]
     requests = told(rig, i.Request)
-    got = rig.client().ask("GET", target, **headers("r1") | change)
+    method, _, target = target.rpartition(" ")
+    got = rig.client().ask(method or "GET", target, **headers("r1") | change)
     assert 400 <= got.status < 500
     assert rig.asked() == [] and requests == []
     assert rig.client().ask("GET", "/read", **headers("r2")).status == 200
