Count how client connections close, and log requests that are left unanswered

Each has a state, a number and a cause of its end now: counted by state and cause, in the line of state and at the end; the steps after SIGTERM say what is open in which state; a request that was read and is left unanswered is logged with its id and its connection's age. Attempts are counted by how they ended, so that answers thrown away for want of a length show.

--- a/fawnspool/head/core.py
+++ b/fawnspool/head/core.py
@@ -260,6 +260,7 @@
         """The attempt's outcome for the module, made in the loop's own turn, where answers are settled in order."""
         result = RESULTS[outcome.ending]
         self.metrics.attempt(attempt.node, result.value, outcome.took)
+        self.metrics.ended(outcome.ending.value)
         if pending.span is not None and self.traces is not None:
             self.traces.attempt(pending.span, attempt.began, attempt.began + outcome.took, node=attempt.node,
                                 number=attempt.number, result=result.value, ending=outcome.ending.value)
--- a/fawnspool/net/server.py
+++ b/fawnspool/net/server.py
@@ -20,6 +20,7 @@
 from gevent.hub import get_hub
 
 from fawnspool.connections.decide import Kind, crowded, makes_room
+from fawnspool.connections.states import Cause, State
 from fawnspool.net.http import END, BadMessage, Head, Limits, RequestParser, head_bytes
 from fawnspool.net.wire import SO_TIMESTAMPNS, Turnstile, Wire
 
@@ -61,6 +62,7 @@
             event = conn.next_event(READ_BODY)
             if event is END:
                 self.read_all = True
+                conn.state = State.IN_HAND
                 return
             assert isinstance(event, bytes)
             self.seen += len(event)
@@ -78,6 +80,7 @@
         head = head_bytes(status, headers, len(body), close)
         bare = self.head.method == b"HEAD" or status in (204, 304)
         self.conn.closing |= close
+        self.conn.state = State.ANSWERING
         try:
             self.conn.send(head if bare else head + body)
         except OSError:
@@ -133,11 +136,14 @@
 class Connection:
     """One client's connection."""
 
-    __slots__ = ("closing", "parser", "peer", "peer_closed", "read_ahead", "read_ahead_size", "server", "until", "used",
-                 "wire")
+    __slots__ = ("cause", "closing", "exchange", "number", "opened", "parser", "peer", "peer_closed", "read_ahead",
+                 "read_ahead_size", "server", "state", "until", "used", "wire")
 
-    def __init__(self, server: Server, wire: Wire, peer: Any) -> None:
+    def __init__(self, server: Server, wire: Wire, peer: Any, number: int = 0) -> None:
         self.server, self.wire, self.peer = server, wire, peer
+        self.number, self.opened = number, time.monotonic()
+        self.state, self.cause = State.NEW, Cause.KILLED        # KILLED unless something else ends it
+        self.exchange: Exchange | None = None                   # the request in hand, or the last one
         self.parser, self.closing = RequestParser(server.limits), False
         self.used = False           # it has carried a whole request's head
         self.until = math.inf       # by when the request being read must be whole
@@ -200,19 +206,28 @@
                 self._handle(exchange)
                 if not exchange.read_all and not self.closing:
                     return
-        except (ClientLeft, TimeoutError, OSError):
-            return
+            self.cause = Cause.ANSWERED if self.closing else Cause.SHUTDOWN
+        except ClientLeft:
+            self.cause = Cause.PEER_END
+        except TimeoutError:
+            self.cause = Cause.DEADLINE
+        except OSError:
+            if not self.wire.closed:
+                self.cause = Cause.RESET
         finally:
+            self.server.note_end(self)
             self._close()
 
     def _next_request(self) -> Exchange | None:
         server, events = self.server, self.parser.events
+        self.state = State.IDLE if self.used else State.NEW
         began = 0.0
         try:
             while not events:
                 if self.read_ahead:
                     data, came = self._next_ahead()
                 elif self.peer_closed:
+                    self.cause = Cause.PEER_END
                     return None
                 elif began:
                     data, came = self.wire.recv_stamped(READ, began + server.piece_timeout)
@@ -220,14 +235,18 @@
                     data, came = self._first_bytes()
                 if not data:
                     self.peer_closed = True
+                    self.cause = Cause.PEER_END
                     return None
                 began = began or came
+                self.state = State.READING
                 self.parser.feed(data)
         except TimeoutError:
+            self.cause = Cause.SHUTDOWN if server.leaving else Cause.DEADLINE
             if began:
                 self._complain(BadMessage(408, f"the request's head took over {server.piece_timeout:g} s"))
             return None
         except BadMessage as bad:
+            self.cause = Cause.BAD_MESSAGE
             self._complain(bad)
             return None
         head = events.popleft()
@@ -238,8 +257,8 @@
             done = True
         else:
             done = False
-        exchange = Exchange(self, head, began or time.monotonic())
-        self.used = True
+        exchange = self.exchange = Exchange(self, head, began or time.monotonic())
+        self.used, self.state = True, State.READING
         self.until = exchange.came + server.piece_timeout if server.evicts else math.inf
         if server.turnstile is not None:
             server.turnstile.enter(server.due(head, exchange.came))
@@ -258,6 +277,8 @@
             idle.pop(self, None)
 
     def _handle(self, exchange: Exchange) -> None:
+        if exchange.read_all:
+            self.state = State.IN_HAND
         try:
             self.server.handler(exchange)
         except BadMessage as bad:
@@ -329,6 +350,9 @@
         self.open: dict[Connection, Any] = {}
         self.silent_close, self.evicts = idle_close if silent_close is None else silent_close, evicts
         self.crowd = crowd
+        self.accepted = 0
+        self.closings: dict[tuple[str, str], int] = {}     # connections that ended, by state and cause
+        self.on_unanswered: Callable[[Connection], None] = lambda conn: None
         self.idle: dict[Connection, None] = {}      # between two requests, the longest first
         self.silent: dict[Connection, None] = {}    # before their first one
         self.stopping = self.leaving = False
@@ -362,7 +386,8 @@
                     continue
                 plain = std.socket(fileno=sock.detach())
                 plain.setsockopt(std.IPPROTO_TCP, std.TCP_NODELAY, 1)
-                conn = Connection(self, Wire(plain), peer)
+                self.accepted += 1
+                conn = Connection(self, Wire(plain), peer, self.accepted)
                 self.open[conn] = gevent.spawn(self._run, conn)
             except OSError as bad:
                 if self.stopping:
@@ -388,6 +413,7 @@
             self.silent.pop(conn, None)
             self.open.pop(conn, None)
             conn.peer_closed = True            # nothing of it is read any more
+            conn.cause = Cause.EVICTION
             conn.wire.close()
             return True
         return False
@@ -412,6 +438,21 @@
         if conn in self.idle or conn in self.silent:
             conn.wire.expire_wait()
 
+    def note_end(self, conn: Connection) -> None:
+        """Count a connection's end by state and cause; tell of a request that it leaves unanswered."""
+        key = (conn.state.value, conn.cause.value)
+        self.closings[key] = self.closings.get(key, 0) + 1
+        exchange = conn.exchange
+        if exchange is not None and not exchange.answered and conn.cause not in (Cause.PEER_END, Cause.RESET):
+            self.on_unanswered(conn)
+
+    def states(self) -> dict[str, int]:
+        """How many connections are open, by state."""
+        counts: dict[str, int] = {}
+        for conn in self.open:
+            counts[conn.state.value] = counts.get(conn.state.value, 0) + 1
+        return counts
+
     def _run(self, conn: Connection) -> None:
         try:
             conn.run()
--- a/fawnspool/relay/front.py
+++ b/fawnspool/relay/front.py
@@ -16,7 +16,7 @@
 from fawnspool.interface import Effect, Request, Settings
 from fawnspool.net.http import BadMessage, Limits
 from fawnspool.net.http import Head as MessageHead
-from fawnspool.net.server import Exchange, Server
+from fawnspool.net.server import Connection, Exchange, Server
 from fawnspool.relay.shelfs import BODY_MOST, BODY_USUAL
 
 HEALTH = b"/_health"
@@ -44,6 +44,7 @@
         self.server = Server(listen, self.handle, limits=Limits(HEAD_BYTES, HEAD_FIELDS), idle_close=KEPT,
                              silent_close=QUIET, piece_timeout=QUIET, most=places.clients, on_error=self._error,
                              on_bad=self._bad, turn=TURN, due=self._due, evicts=True, crowd=places.crowd)
+        self.server.on_unanswered = self._unanswered
 
     def start(self) -> None:
         self.server.start()
@@ -60,6 +61,14 @@
         counts = self.core.metrics.bad_requests
         counts[bad.status] = counts.get(bad.status, 0) + 1
 
+    def _unanswered(self, conn: Connection) -> None:
+        """A request was read and its connection ends without an answer."""
+        head = conn.exchange.head if conn.exchange is not None else None
+        ident = b"" if head is None else head.headers.get(b"request-id", b"")
+        self.core.log.error("request left unanswered", id=ident.decode("ascii", "replace"), connection=conn.number,
+                            connection_age_s=round(time.monotonic() - conn.opened, 4), state=conn.state.value,
+                            cause=conn.cause.value)
+
     def _due(self, head: MessageHead, came: float) -> float:
         """Until when a request is worth a turn: roughly, as nothing of it has been checked yet."""
         raw = head.headers.get(b"request-timeout-ms", b"")
--- a/fawnspool/relay/program.py
+++ b/fawnspool/relay/program.py
@@ -69,8 +69,11 @@
         m, out = self.core.metrics, dict[str, float]()
         rows: list[tuple[str, float]] = [(f"request {o}", n) for (_, _, o), n in m.requests.items()]
         rows += [(f"attempt {r}", n) for (_, r), n in m.attempts.items()]
+        rows += [(f"attempt ended: {how}", n) for how, n in m.endings.items()]
         rows += [(f"bad {status}", n) for status, n in m.bad_requests.items()]
         rows += [(f"{outcome}: {why}", n) for (outcome, why), n in m.reasons.items()]
+        rows += [(f"closed {state}: {why}", n) for (state, why), n in self.front.server.closings.items()]
+        rows += [("accepted", self.front.server.accepted)]
         rows += [("module_s", m.module_seconds), ("events", m.module_events), ("errors", m.module_errors),
                  ("overdue", m.overdue), ("lag_s", m.lag.total), ("cpu_s", time.process_time())]
         for name, value in rows:
@@ -108,16 +111,19 @@
         end = ending(told, NEW_S, MORE_S + min(COUNTED_S, max(c.deadline for c in self.config.settings.classes)))
         self.front.until = end.answered
         server.crowd = 0            # new connections end soon: from now on every kept one is needed
-        self.log.info("ending", in_hand=len(self.front.open), connections=len(server.open))
+        self.log.info("ending", in_hand=len(self.front.open), connections=len(server.open), states=server.states())
         while (now := time.monotonic()) < end.close and (now < end.unused or server.open):
             gevent.sleep(_STEP)
+        self.log.info("idle connections are closed", in_hand=len(self.front.open), states=server.states(),
+                      accepted=server.accepted)
         server.closing_down()
         while time.monotonic() < end.answered and (self.front.open or server.busy()):
             gevent.sleep(_STEP)
         self.front.end_all()
         while time.monotonic() < end.gone and server.busy():
             gevent.sleep(_STEP)
-        self.log.info("ended", after_s=round(time.monotonic() - told, 2), in_hand=len(self.front.open))
+        self.log.info("ended", after_s=round(time.monotonic() - told, 2), in_hand=len(self.front.open),
+                      states=server.states(), accepted=server.accepted)
         self.ended.set()
 
     def stop(self) -> None:
@@ -125,6 +131,7 @@
         self.front.server.stop()
         self.discovery.stop()
         self.core.stop()
+        self.log.info("stopped", **{k: v for k, v in self.figures().items() if k.startswith("closed ")})
 
 
 def read_whole(path: str, environ: Mapping[str, str], free_descriptor: Callable[[], bool] = lambda: False
--- a/fawnspool/telemetry/sums.py
+++ b/fawnspool/telemetry/sums.py
@@ -30,6 +30,7 @@
     def __init__(self) -> None:
         self.requests: dict[tuple[str, str, str], int] = {}
         self.attempts: dict[tuple[int, str], int] = {}
+        self.endings: dict[str, int] = {}               # attempts by how they ended, in the words of `head.endings`
         self.reasons: dict[tuple[str, str], int] = {}   # why a request was not served: outcome, reason
         self.head_wait: dict[str, Histogram] = {}
         self.node_time: dict[int, Histogram] = {}
@@ -55,6 +56,9 @@
             self.node_time[node] = Histogram()
         self.node_time[node].add(took)
 
+    def ended(self, ending: str) -> None:
+        self.endings[ending] = self.endings.get(ending, 0) + 1
+
     def waited(self, cls: str, seconds: float) -> None:
         """Time from a request's coming to its first send."""
         self.head_wait.setdefault(cls, Histogram()).add(seconds)
