--- a/tests/e2e/test_crossings.py
+++ b/tests/e2e/test_crossings.py
@@ -781,6 +781,41 @@
     assert [o.result for o in seen] == [i.Result.BROKEN, i.Result.SERVED]
 
 
+def without_length(rig: RelayRig, end: Callable[[Any, Any], None]) -> None:
+    """Shelf 0 answers its first request without a length; `end(connection, request)` says how it goes on."""
+    shelf = rig.shelfs[0]
+
+    def script(asked: Any) -> bytes | None:
+        if len(shelf.asked) > 1:
+            return None
+        conn = next(c for c in shelf.server.open if c not in shelf.server.idle)
+        conn.send(b"HTTP/1.1 200 OK\r\n\r\n")
+        end(conn, asked)
+        conn.closing = True
+        return b""
+
+    shelf.script = script
+
+
+@pytest.mark.parametrize("pieces", [1, 5])
+@pytest.mark.parametrize("method", ["GET", "PUT"])
+def test_an_answer_without_a_length_that_a_close_ends_is_passed_on(rig: RelayRig, method: str, pieces: int) -> None:
+    """RFC 9112, 6.3. Incident: such answers came whole and were thrown away, so reads ran twice and writes failed."""
+    seen, body = outcomes(rig), bytes(range(256)) * 40 * pieces
+
+    def end(conn: Any, asked: Any) -> None:
+        for k in range(pieces):
+            conn.send(body[k * 10_240:(k + 1) * 10_240])
+            gevent.sleep(0.005)
+
+    without_length(rig, end)
+    c = rig.client()
+    got: Any = c.ask("GET", "/read", **headers("r1")) if method == "GET" else \
+        c.ask("PUT", "/note", b"x", **headers("r1"), **KEYED)
+    assert (got.status, got.data) == (200, body) and rig.asked() == ["r1"]
+    assert [o.result for o in seen] == [i.Result.SERVED]
+
+
 @pytest.mark.parametrize("said", [
     b"HTTP/1.1 200 OK\r\nContent-Length: 12\r\n\r\nw1 PUT", b"HTTP/1.1 200 OK\r\n",
     b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n6\r\nw1 PUT\r\n"], ids=["length", "head", "chunked"])
--- a/tests/e2e/test_relay.py
+++ b/tests/e2e/test_relay.py
@@ -333,13 +333,14 @@
 @contextlib.contextmanager
 def process_of(rig: RelayRig, descriptors: int = 1024,
                start: tuple[str, ...] = ("-m", "fawnspool.relay"),
-               up: Callable[[], Any] | None = None) -> Iterator[subprocess.Popen[bytes]]:
+               up: Callable[[], Any] | None = None, log: Path | None = None) -> Iterator[subprocess.Popen[bytes]]:
     """The real process in the place of the rig's own program, held to so many descriptors. up: is it there? Without:
-    when it asked discovery."""
+    when it asked discovery. log: where its log goes."""
     rig.program.stop()
     before = len(rig.discovery.calls)
     process = subprocess.Popen(
-        [sys.executable, *start], cwd=Path(__file__).parents[2], stderr=subprocess.DEVNULL,
+        [sys.executable, *start], cwd=Path(__file__).parents[2],
+        stderr=subprocess.DEVNULL if log is None else log.open("wb"),
         env={"RELAY_CONFIG": str(rig.path), "PATH": "/usr/bin:/bin"},
         preexec_fn=lambda: resource.setrlimit(resource.RLIMIT_NOFILE, (descriptors, descriptors)))
     try:
