End a head when no connection is open; leave unread what crosses the end of one

A closing connection read on and dropped what came (Connection._close); bytes read ahead to see a client leave were dropped where the answer in hand was the last. Change: new connections are refused first (a filter drops SYNs, so that the queue can be emptied without a gap), then those at rest are closed, and the head ends when none is open. Nothing is read ahead: an end behind unread bytes is asked of TCP_INFO. An answer is its connection's last only if nothing more was read or lies there.

--- a/fawnspool/api/objects.py
+++ b/fawnspool/api/objects.py
@@ -370,7 +370,7 @@
         head.finished(pending, "failed" if kind is None else kind.value)
         if exchange.answered or kind is Kind.LEFT:
             if not exchange.answered:
-                exchange.answered = exchange.conn.closing = True
+                exchange.abandon()
             elif pending.answer is not None:
                 head.metrics.bytes_out += max(0, pending.answer.streamed)
             return
--- a/fawnspool/connections/decide.py
+++ b/fawnspool/connections/decide.py
@@ -66,10 +66,12 @@
 
 @dataclass(frozen=True)
 class Ending:
-    """The end of a head that was told to go, on the caller's clock: it may go unused from `unused` on, lets clients go
-    at `close`, has answered all by `answered` and is gone by `gone`."""
+    """The end of a head that was told to go, on the caller's clock: it may go unused from `unused` on; from `refuse` on
+    it takes no new connection, and an answer ends its own; it closes those at rest at `close`, has answered all by
+    `answered` and is gone by `gone`."""
 
     unused: float
+    refuse: float
     close: float
     answered: float
     gone: float
@@ -77,10 +79,12 @@
 
 def ending(told: float, new_for: float, killed_after: float) -> Ending:
     """new_for: how long new connections may still come; killed_after: when it may be killed at the earliest. It serves
-    as long as it may, as nobody takes its place before. Harm: a machine that stands still for over SPARE."""
+    as long as it may, as nobody takes its place before. New connections are refused before kept ones are closed:
+    clients of these would come back on new ones, to the very end. Harm: a machine that stands still for over SPARE."""
     kill = told + killed_after
     answered = max(told, kill - SPARE)
-    return Ending(told + 2 * new_for, max(told, answered - LAST), answered, max(told, kill - SPARE / 2))
+    refuse, close = max(told, answered - LAST), max(told, answered - LAST / 2)
+    return Ending(told + 2 * new_for, refuse, close, answered, max(told, kill - SPARE / 2))
 
 
 @dataclass(frozen=True)
--- a/fawnspool/net/wire.py
+++ b/fawnspool/net/wire.py
@@ -7,8 +7,10 @@
 from __future__ import annotations
 
 import errno
+import fcntl
 import socket as std
 import struct
+import termios
 import time
 from collections import deque
 from collections.abc import Callable
@@ -18,12 +20,14 @@
 from gevent import getcurrent
 from gevent.hub import get_hub
 
+from fawnspool.net.listener import SO_TIMESTAMPNS
+
 STEP = 0.002
-SO_TIMESTAMPNS = 35     # Linux: socket(7); on a listener its connections inherit it
 _STAMP_ROOM = 64
 _TIMESPEC = struct.Struct("qq")
 _OLDEST = 60.0          # seconds
-_PEER_CLOSED = (7, 8)   # tcp(7), TCP_INFO: CLOSE (it was reset), CLOSE_WAIT
+_TCP_CLOSE, _TCP_CLOSE_WAIT = 7, 8      # tcp(7), TCP_INFO, its first byte: it was reset; the peer has ended its side
+_INT = struct.Struct("i")
 
 
 class Wheel:
@@ -186,13 +190,17 @@
 
 class Wire:
     """One connected socket, used by one greenlet at a time in each direction. Raises OSError when it breaks, and
-    TimeoutError past a deadline (monotonic seconds)."""
+    TimeoutError past a deadline (monotonic seconds) alone.
+
+    The system reports a break once, to whoever looks first; what comes then reads as a clean end. So it is kept here,
+    whichever call met it, and no end that follows is taken for a clean one."""
 
-    __slots__ = ("closed", "reader", "sock", "writer")
+    __slots__ = ("broken", "closed", "reader", "sock", "writer")
 
     def __init__(self, sock: std.socket) -> None:
         sock.setblocking(False)
         self.sock, self.closed = sock, False
+        self.broken: ConnectionError | None = None
         self.reader: _Wait | None = None
         self.writer: _Wait | None = None
 
@@ -202,7 +210,7 @@
             self._readable(deadline)
         while True:
             try:
-                return self.sock.recv(size)
+                return self._read_now(size)
             except BlockingIOError:
                 self._readable(deadline)
 
@@ -218,7 +226,12 @@
 
     def recv_now(self, size: int) -> tuple[bytes, float]:
         """What lies there, stamped. Raises BlockingIOError where nothing does."""
-        data, extra, _, _ = self.sock.recvmsg(size, _STAMP_ROOM)
+        try:
+            data, extra, _, _ = self.sock.recvmsg(size, _STAMP_ROOM)
+        except OSError as bad:
+            raise self._noted(bad) from None
+        if not data:
+            self._check_end()
         now = time.monotonic()
         for level, kind, raw in extra:
             if level == std.SOL_SOCKET and kind == SO_TIMESTAMPNS and len(raw) >= 16:
@@ -228,6 +241,35 @@
                     return data, now - age
         return data, now
 
+    def _read_now(self, size: int) -> bytes:
+        try:
+            data = self.sock.recv(size)
+        except OSError as bad:
+            raise self._noted(bad) from None
+        if not data:
+            self._check_end()
+        return data
+
+    def _noted(self, bad: OSError) -> OSError:
+        """The error to raise. A break is kept, and never looks like a deadline (ETIMEDOUT is one of its forms)."""
+        if isinstance(bad, BlockingIOError) or self.closed:
+            return bad
+        if self.broken is None:
+            self.broken = ConnectionResetError(bad.errno, bad.strerror)
+        return self.broken
+
+    def _check_end(self) -> None:
+        """An end was read. Raises ConnectionError where it is the rest of a break that was reported before, or that
+        followed the peer's end."""
+        if self.broken is None and self._tcp_state() == _TCP_CLOSE:
+            self.broken = ConnectionResetError(errno.ECONNRESET, "reset behind its end")
+        if self.broken is not None:
+            raise self.broken
+
+    def is_broken(self) -> bool:
+        """Has any call met a break, or has this side closed it?"""
+        return self.closed or self.broken is not None
+
     def expire_wait(self) -> None:
         """Whoever waits to read finds its time over now: what lies there is read still, as at any deadline. To be
         called from the loop itself."""
@@ -249,10 +291,7 @@
 
     def sendall(self, data: bytes | memoryview, deadline: float) -> int:
         """Hand all of it to the kernel."""
-        try:
-            sent = self.sock.send(data)
-        except BlockingIOError:
-            sent = 0
+        sent = self._send_now(data)
         if sent == len(data):
             return sent
         view = memoryview(data)[sent:]
@@ -262,44 +301,75 @@
             self.writer.wait(deadline)
             if self.closed:
                 raise OSError(errno.EBADF, "closed here")
-            try:
-                view = view[self.sock.send(view):]
-            except BlockingIOError:
-                continue
+            view = view[self._send_now(view):]
         return len(data)
 
+    def _send_now(self, data: bytes | memoryview) -> int:
+        """How much of it the kernel takes at once."""
+        try:
+            return self.sock.send(data)
+        except BlockingIOError:
+            return 0
+        except OSError as bad:
+            raise self._noted(bad) from None
+
+    def peek(self) -> bytes | None:
+        """The first unread byte, b"" at the end, None where there is neither yet. Takes nothing out; raises OSError
+        where the connection broke."""
+        try:
+            first = self.sock.recv(1, std.MSG_PEEK)
+        except BlockingIOError:
+            return None
+        except OSError as bad:
+            raise self._noted(bad) from None
+        if not first:
+            self._check_end()
+        return first
+
     def at_end(self) -> bool:
         """Has the peer closed (or sent what nobody has read)? Does not wait, takes nothing out."""
         try:
-            self.sock.recv(1, std.MSG_PEEK)
-        except BlockingIOError:
-            return False
+            return self.peek() is not None
         except OSError:
             return True
-        return True
 
     def peer_left(self) -> bool:
         """Has the peer closed its side? Bytes that wait to be read are no end."""
         try:
-            return self.sock.recv(1, std.MSG_PEEK) == b""
-        except BlockingIOError:
-            return False
+            return self.peek() == b""
         except OSError:
             return True
 
     def unread(self) -> bool:
         """Do bytes of the peer wait to be read?"""
         try:
-            return self.sock.recv(1, std.MSG_PEEK) != b""
+            return bool(self.peek())
         except OSError:
             return False
 
     def closed_by_peer(self) -> bool:
-        """Has the peer closed behind bytes that nobody has read, as far as the system tells?"""
+        """Has the peer closed, also behind bytes that nobody has read, as far as the system tells?"""
+        return self._tcp_state() in (_TCP_CLOSE, _TCP_CLOSE_WAIT)
+
+    def unread_bytes(self) -> int:
+        """How many bytes wait to be read; 0 where the system does not tell."""
+        return self._count(termios.FIONREAD)
+
+    def unacknowledged(self) -> int:
+        """How many bytes of ours the peer's system has not confirmed yet; 0 where this one does not tell."""
+        return self._count(termios.TIOCOUTQ)
+
+    def _count(self, what: int) -> int:
         try:
-            return self.sock.getsockopt(std.IPPROTO_TCP, std.TCP_INFO, 1)[0] in _PEER_CLOSED
+            return int(_INT.unpack(fcntl.ioctl(self.sock.fileno(), what, bytes(_INT.size)))[0])
         except OSError:
-            return False
+            return 0
+
+    def _tcp_state(self) -> int:
+        try:
+            return int(self.sock.getsockopt(std.IPPROTO_TCP, std.TCP_INFO, 1)[0])
+        except OSError:
+            return 0
 
     def shutdown(self, how: int) -> None:
         self.sock.shutdown(how)
@@ -376,7 +446,7 @@
     try:
         sock.setsockopt(std.IPPROTO_TCP, std.TCP_NODELAY, 1)
         code = sock.connect_ex(address)
-        if code in (errno.EINPROGRESS, errno.EWOULDBLOCK):
+        if code in (errno.EINPROGRESS, errno.EINTR):    # one that a signal interrupts goes on all the same
             wire.writer = _Wait(sock.fileno(), 2)
             wire.writer.wait(deadline)
             code = sock.getsockopt(std.SOL_SOCKET, std.SO_ERROR)
--- a/fawnspool/relay/front.py
+++ b/fawnspool/relay/front.py
@@ -67,7 +67,7 @@
         ident = b"" if head is None else head.headers.get(b"request-id", b"")
         self.core.log.error("request left unanswered", id=ident.decode("ascii", "replace"), connection=conn.number,
                             connection_age_s=round(time.monotonic() - conn.opened, 4), state=conn.state.value,
-                            cause=conn.cause.value)
+                            cause=conn.cause.value if conn.cause is not None else "")
 
     def _due(self, head: MessageHead, came: float) -> float:
         """Until when a request is worth a turn: roughly, as nothing of it has been checked yet."""
@@ -165,7 +165,7 @@
         kind, core = pending.kind, self.core
         core.finished(pending, "failed" if kind is None else kind.value)
         if kind is Kind.LEFT:
-            exchange.answered = exchange.conn.closing = True
+            exchange.abandon()
         elif kind is Kind.SERVED and pending.answer is not None:
             exchange.respond(200, [], pending.answer.body)
         elif kind is Kind.REFUSED:
--- a/fawnspool/relay/program.py
+++ b/fawnspool/relay/program.py
@@ -103,29 +103,36 @@
             self.discovery.move(new.discovery)
 
     def drain(self) -> None:
-        """SIGTERM: go on serving the clients that still come, as nobody else has what their volumes need, until the
-        time that the platform leaves is nearly over; then let them go, answer what is in hand, and end."""
+        """SIGTERM, SIGINT: go on serving the clients that still come, as nobody else has what their volumes need, until
+        the time that the platform leaves is nearly over; then refuse new connections, let the kept ones go, answer
+        what is in hand, and end. It ends when no connection is open, not when no request is known: what a connection
+        that has just been accepted brings is known a moment later."""
         if self.front.until < math.inf:
             return              # told before: a second signal gives no more time
         told, server = time.monotonic(), self.front.server
         end = ending(told, NEW_S, MORE_S + min(COUNTED_S, max(c.deadline for c in self.config.settings.classes)))
         self.front.until = end.answered
         server.crowd = 0            # new connections end soon: from now on every kept one is needed
-        self.log.info("ending", in_hand=len(self.front.open), connections=len(server.open), states=server.states())
-        while (now := time.monotonic()) < end.close and (now < end.unused or server.open):
-            gevent.sleep(_STEP)
-        self.log.info("idle connections are closed", in_hand=len(self.front.open), states=server.states(),
-                      accepted=server.accepted)
-        server.closing_down()
-        while time.monotonic() < end.answered and (self.front.open or server.busy()):
-            gevent.sleep(_STEP)
+        self._log_step("ending")
+        _wait_until(end.refuse, lambda: time.monotonic() >= end.unused and not server.open)
+        server.leaving = True
+        self._log_step("new connections are refused")
+        server.stop_accepting(end.close)
+        _wait_until(end.close, lambda: not server.open)
+        self._log_step("idle connections are closed")
+        server.closing_down(end.answered)
+        _wait_until(end.answered, lambda: not server.open)
         self.front.end_all()
-        while time.monotonic() < end.gone and server.busy():
-            gevent.sleep(_STEP)
-        self.log.info("ended", after_s=round(time.monotonic() - told, 2), in_hand=len(self.front.open),
-                      states=server.states(), accepted=server.accepted)
+        server.finish()
+        _wait_until(end.gone, lambda: not server.open)
+        self._log_step("ended", after_s=round(time.monotonic() - told, 2))
         self.ended.set()
 
+    def _log_step(self, step: str, **more: Any) -> None:
+        server = self.front.server
+        self.log.info(step, in_hand=len(self.front.open), connections=len(server.open), states=server.states(),
+                      accepted=server.accepted, **more)
+
     def stop(self) -> None:
         self.teller.kill()
         self.front.server.stop()
@@ -134,6 +141,12 @@
         self.log.info("stopped", **{k: v for k, v in self.figures().items() if k.startswith("closed ")})
 
 
+def _wait_until(end: float, done: Callable[[], bool]) -> None:
+    """Until `done()`, or the monotonic time `end`."""
+    while time.monotonic() < end and not done():
+        gevent.sleep(_STEP)
+
+
 def read_whole(path: str, environ: Mapping[str, str], free_descriptor: Callable[[], bool] = lambda: False
                ) -> RelayConfig:
     """The configuration, read again while it may just be written. Raises ConfigError."""
@@ -166,8 +179,12 @@
         return 3
     gevent.signal_handler(signal.SIGHUP, program.reload)
     gevent.signal_handler(signal.SIGTERM, program.drain)
-    gevent.signal_handler(signal.SIGINT, program.ended.set)
-    program.start()
+    gevent.signal_handler(signal.SIGINT, program.drain)
+    try:
+        program.start()             # it listens from now on, and heeds signals before
+    except OSError as bad:
+        log.error("can't start", error=bad.strerror or str(bad))
+        return 3
     if early:
         gevent.spawn(program.reload)    # the file may have been replaced behind our first reading
     program.log.info("serving", listen="{}:{}".format(*program.config.listen), sockets=program.config.sockets)
