Pass on answers that a close ends; keep a break whoever met it first

Ruled out: a close in the middle that is no reset, by nothing but its rarity, as nobody can tell. Change: a close ends an answer without a length (RFC 9112, 6.3) where the pool is lenient; a break never does, nor a reset behind an end.

--- a/fawnspool/net/client.py
+++ b/fawnspool/net/client.py
@@ -34,13 +34,16 @@
 
 class Link:
     """One connection; carries one request at a time. lenient: bytes behind a whole answer leave it whole and only
-    spoil the connection (`surplus`), else they raise BadMessage."""
+    spoil the connection (`surplus`), else they raise BadMessage; and an answer that names no length is whole where its
+    sender closes the connection (RFC 9112, 6.3), never where it breaks (`Wire` keeps a break that any look met), else
+    it is never whole."""
 
-    __slots__ = ("fresh", "lenient", "parser", "surplus", "used", "wire")
+    __slots__ = ("fresh", "lenient", "parser", "surplus", "until_close", "used", "wire")
 
     def __init__(self, wire: Wire, lenient: bool = False) -> None:
         self.wire, self.fresh, self.used = wire, True, time.monotonic()
         self.lenient, self.surplus = lenient, False
+        self.until_close = False    # the close of the connection ends the present answer
         self.parser = ResponseParser(_LIMITS)
 
     def send(self, data: bytes, deadline: float) -> None:
@@ -55,10 +58,11 @@
 
     def begin_answer(self, deadline: float) -> Status:
         """Read up to the answer's headers. Raises TimeoutError, Broken, BadMessage."""
-        self.parser.done = False
+        self.parser.done = self.until_close = False
         head = self._event(deadline)
         if not isinstance(head, Status):
             raise BadMessage(502, "no status line came")
+        self.until_close = self.lenient and head.length is None and b"transfer-encoding" not in head.headers
         return head
 
     def _event(self, deadline: float) -> Any:
@@ -70,6 +74,9 @@
                 raise
             except OSError as bad:
                 raise Broken(f"while reading: {bad}") from None
+            if not data and self.until_close and not self.parser.in_head:
+                self.parser.done = self.surplus = True      # whole, and the connection's last
+                return END
             if not data:
                 raise Broken("closed before the answer was whole")
             try:
