Tell arrivals and starts of nodes right where the wall clock is set

Cause: Wire.recv_now took a kernel stamp of the wall clock from time.time(): set forward by 5 s between the two, it made a fresh request 5 s old, which was refused. relay/discovery.py told nodes' starts by the present offset alone, so a clock set forward made a cold node a warm one. Change: net/arrival.py bounds a stamp by the last look at both clocks (20 a second); connections/starts.py takes the youngest reading that is not in the future, and keeps it while the list names the same start.

--- a/fawnspool/head/core.py
+++ b/fawnspool/head/core.py
@@ -21,6 +21,7 @@
 from fawnspool.head.pending import Attempt, Kind, Pending, State
 from fawnspool.head.workers import Workers
 from fawnspool.net.client import Pool
+from fawnspool.net.wire import look_at_clocks
 from fawnspool.telemetry.sums import Sums
 
 if TYPE_CHECKING:       # only a head that records or traces needs these and their libraries
@@ -106,7 +107,7 @@
             due = time.monotonic() + _SWEEP
             gevent.sleep(_SWEEP)
             self.metrics.lag.add(max(0.0, time.monotonic() - due))
-            for look in (self._now_and_then, self._prune, self._look_for_left):
+            for look in (look_at_clocks, self._now_and_then, self._prune, self._look_for_left):
                 try:
                     look()
                 except Exception:       # a head that looks no more goes on, and keeps all that it should give back
--- a/fawnspool/net/wire.py
+++ b/fawnspool/net/wire.py
@@ -20,16 +20,24 @@
 from gevent import getcurrent
 from gevent.hub import get_hub
 
+from fawnspool.net.arrival import ArrivalClock
 from fawnspool.net.listener import SO_TIMESTAMPNS
 
 STEP = 0.002
 _STAMP_ROOM = 64
 _TIMESPEC = struct.Struct("qq")
-_OLDEST = 60.0          # seconds
 _TCP_CLOSE, _TCP_CLOSE_WAIT = 7, 8      # tcp(7), TCP_INFO, its first byte: it was reset; the peer has ended its side
 _INT = struct.Struct("i")
 
 
+_arrivals = ArrivalClock(time.time(), time.monotonic())
+
+
+def look_at_clocks() -> None:
+    """To be called often, also while nothing is read: see `ArrivalClock`."""
+    _arrivals.look(time.time(), time.monotonic())
+
+
 class Wheel:
     """Deadlines by tick, with one timer set for the earliest. Most waits end before their deadline, so adding and
     dropping are cheap and nothing is sorted but the ticks in use."""
@@ -232,14 +240,11 @@
             raise self._noted(bad) from None
         if not data:
             self._check_end()
-        now = time.monotonic()
         for level, kind, raw in extra:
             if level == std.SOL_SOCKET and kind == SO_TIMESTAMPNS and len(raw) >= 16:
                 seconds, nanos = _TIMESPEC.unpack_from(raw)
-                age = time.time() - seconds - nanos / 1e9
-                if 0 < age < _OLDEST:       # else the wall clock was set meanwhile
-                    return data, now - age
-        return data, now
+                return data, _arrivals.arrival(seconds + nanos / 1e9, time.time(), time.monotonic())
+        return data, time.monotonic()
 
     def _read_now(self, size: int) -> bytes:
         try:
--- a/fawnspool/relay/discovery.py
+++ b/fawnspool/relay/discovery.py
@@ -10,6 +10,7 @@
 
 from fawnspool import interface as i
 from fawnspool.connections.decide import believes_older, watch_times
+from fawnspool.connections.starts import StartTimes
 from fawnspool.head.listlink import ListLink
 
 PLACE = b"/catalog/members"
@@ -37,6 +38,8 @@
         self.zones, self.kinds = zones, kinds
         self.nodes: dict[int, Shelf] = {}
         self.numbers: dict[str, int] = {}
+        self.starts = StartTimes()
+        self.starts.look(time.time(), time.monotonic())
         self.last = 0
         self.older = 0                  # lists older than what is held, in a row
         self.confirmed = False          # has the service said anything of the list that is held?
@@ -96,13 +99,14 @@
         version, rows = _version(told), told.get("hosts") or []
         if not isinstance(rows, list):
             raise ValueError("hosts: expected a list")
-        lag = time.time() - time.monotonic()
+        now = time.monotonic()
+        self.starts.look(time.time(), now)
         if kind is not i.ListKind.CHANGES:
             self.nodes = {}
         entries = []
         for row in rows:
             try:
-                entry, shelf = self._read(row, lag)
+                entry, shelf = self._read(row, now)
             except (KeyError, TypeError, ValueError, AttributeError) as bad:
                 self.log.error("a list entry does not read", entry=str(row)[:200], error=str(bad))
                 continue
@@ -110,15 +114,16 @@
             if entry.phase is i.Phase.GONE:
                 self.nodes.pop(entry.node, None)
                 self.numbers.pop(shelf.name, None)
+                self.starts.forget(shelf.name)
             else:
                 self.nodes[entry.node] = shelf
         if kind is not i.ListKind.CHANGES:
             self.numbers = {shelf.name: node for node, shelf in self.nodes.items()}
+            self.starts.keep(set(self.numbers))
         self.version, self.confirmed = version, kind is not i.ListKind.SAVED
         self.tell(i.NodeList(kind, version, tuple(entries)))
 
-    def _read(self, row: Mapping[str, Any], lag: float) -> tuple[i.ListEntry, Shelf]:
-        """lag: Unix time less the monotonic clock, seconds."""
+    def _read(self, row: Mapping[str, Any], now: float) -> tuple[i.ListEntry, Shelf]:
         name, state = str(row["host"]), row["health"]
         if state not in _PHASES:
             raise ValueError(f"health: expected one of {', '.join(_PHASES)}, found {state!r}")
@@ -136,7 +141,7 @@
         return i.ListEntry(
             node, self.zones.index(zone) if zone in self.zones else 0,
             self.kinds.index(made) if made in self.kinds else 0, cell, phase, share,
-            max(0.0, born / 1000 - lag) if born > 0 else 0.0), shelf
+            self.starts.started(name, born / 1000, now)), shelf
 
 
 def _version(told: Mapping[str, Any]) -> int:
--- a/tests/e2e/test_crossings.py
+++ b/tests/e2e/test_crossings.py
@@ -745,6 +745,23 @@
     other.server.stop()
 
 
+# ------------------------------------------------------------------ the wall clock
+
+
+@pytest.mark.parametrize("step", [5.0, -5.0, 3600.0, -3600.0])
+def test_a_wall_clock_that_is_set_costs_no_request_its_time(
+        rig: RelayRig, monkeypatch: pytest.MonkeyPatch, step: float) -> None:
+    """Set between a request's arrival and its reading: it is as old as it is, and its shelf is told what is left."""
+    sock, real = rests(rig, "r0"), time.time
+    sock.sendall(text("/read", headers("r1", wait="1500")))
+    monkeypatch.setattr(time, "time", lambda: real() + step)
+    rig.program.front.server.leaving = True
+    assert answer(sock).startswith(b"HTTP/1.1 200")
+    left = [int(a.headers[b"request-timeout-ms"]) for a in rig.shelfs[0].asked if a.ident == "r1"]
+    assert len(left) == 1 and 300 < left[0] <= 1000 * SETTINGS["classes"][0]["aim"]
+    assert rig.client().ask("GET", "/read", **headers("r2")).status == 200
+
+
 # ------------------------------------------------------------------ answers
 
 
