--- a/fawnspool/head/attempts.py
+++ b/fawnspool/head/attempts.py
@@ -180,11 +180,14 @@
     except TimeoutError:
         raise _Lost(Ending.CALLED_OFF if attempt.called_off else Ending.NO_ANSWER) from None
     except Broken:
-        raise _Lost(Ending.CALLED_OFF if attempt.called_off else Ending.HALF_ANSWER) from None
+        cut = Ending.CUT_WITHOUT_LENGTH if link.until_close else Ending.HALF_ANSWER
+        raise _Lost(Ending.CALLED_OFF if attempt.called_off else cut) from None
     except BadMessage as bad:
         raise _Lost(_misformed(bad)) from None
     ending = speech.ending(status)
-    return ending, Answer(status.code, status.headers, body) if ending is Ending.ANSWERED else None
+    if ending is not Ending.ANSWERED:
+        return ending, None
+    return Ending.ANSWERED_TO_CLOSE if link.until_close else ending, Answer(status.code, status.headers, body)
 
 
 def _pass_on(pending: Pending, attempt: Attempt, link: Link, status: Status,
--- a/fawnspool/head/endings.py
+++ b/fawnspool/head/endings.py
@@ -15,6 +15,7 @@
     """How an attempt ended, as the sockets showed it."""
 
     ANSWERED = "answered"
+    ANSWERED_TO_CLOSE = "answered without a length, whole at the close"
     NODE_ERROR = "the node answered with an error"
     TURNED_AWAY = "turned away unseen: full or draining"
     REFUSED = "connection refused or out of reach"
@@ -25,6 +26,7 @@
     RESET = "reset after the request was written"
     CLOSED = "a kept connection was closed under the request"
     HALF_ANSWER = "closed in the middle of the answer"
+    CUT_WITHOUT_LENGTH = "broke in an answer without a length"
     MALFORMED = "the answer is not HTTP"
     WRONG_LENGTH = "the answer has not the length it names"
     NO_ANSWER = "no answer in time"
@@ -41,6 +43,7 @@
 
 RESULTS: dict[Ending, Result] = {
     Ending.ANSWERED: Result.SERVED,
+    Ending.ANSWERED_TO_CLOSE: Result.SERVED,
     Ending.NODE_ERROR: Result.ERROR,
     Ending.TURNED_AWAY: Result.FULL,
     Ending.REFUSED: Result.UNREACHED,
@@ -51,6 +54,7 @@
     Ending.RESET: Result.BROKEN,
     Ending.CLOSED: Result.BROKEN,
     Ending.HALF_ANSWER: Result.BROKEN,
+    Ending.CUT_WITHOUT_LENGTH: Result.BROKEN,
     Ending.MALFORMED: Result.BROKEN,
     Ending.WRONG_LENGTH: Result.BROKEN,
     Ending.NO_ANSWER: Result.TIMED_OUT,
--- a/fawnspool/net/connection.py
+++ b/fawnspool/net/connection.py
@@ -104,6 +104,7 @@
 
     def abandon(self) -> None:
         """The client counts as gone, and no answer is owed. One that only sent too much is told so."""
+        self.conn.note_cause(Cause.BAD_MESSAGE if self.conn.flooded else Cause.PEER_END)
         if self.conn.flooded:
             return self.respond(400, [JSON], error_body("bad-request", "too much came behind a request"), close=True)
         self.answered = self.conn.closing = True
@@ -227,22 +228,22 @@
                 if exchange is None:
                     return
                 self._handle(exchange)
-            self._ends(Cause.ANSWERED)
+            self.note_cause(Cause.ANSWERED)
         except ClientLeft:
-            self._ends(Cause.PEER_END)
+            self.note_cause(Cause.PEER_END)
         except TimeoutError:
-            self._ends(Cause.DEADLINE)
+            self.note_cause(Cause.DEADLINE)
         except OSError:
-            self._ends(Cause.RESET)
+            self.note_cause(Cause.RESET)
         except gevent.GreenletExit:
-            self._ends(Cause.KILLED)
+            self.note_cause(Cause.KILLED)
             self._answer_owed()
         finally:
             self.server.note_end(self)
             self.state = State.CLOSING
             self._close()
 
-    def _ends(self, cause: Cause) -> None:
+    def note_cause(self, cause: Cause) -> None:
         """The first cause counts."""
         if self.cause is None:
             self.cause = cause
@@ -261,13 +262,13 @@
                     data, came = self._first_bytes()
                 if not data:
                     self.peer_closed = True
-                    self._ends(Cause.PEER_END)
+                    self.note_cause(Cause.PEER_END)
                     return None
                 began = began or came
                 self.state = State.READING
                 self.parser.feed(data)
         except TimeoutError:
-            self._ends(Cause.SHUTDOWN if server.leaving else Cause.DEADLINE)
+            self.note_cause(Cause.SHUTDOWN if server.leaving else Cause.DEADLINE)
             self._answer_owed()
             return None
         except BadMessage as bad:
@@ -275,7 +276,7 @@
             return None
         head = events.popleft()
         if not isinstance(head, Head):
-            self._ends(Cause.BAD_MESSAGE)
+            self.note_cause(Cause.BAD_MESSAGE)
             return None
         return self._begin(head, began or time.monotonic())
 
@@ -314,17 +315,17 @@
         except BadMessage as bad:
             self._complain(bad)
         except TimeoutError:
-            self._ends(Cause.SHUTDOWN if self.server.closing_until <= time.monotonic() else Cause.DEADLINE)
+            self.note_cause(Cause.SHUTDOWN if self.server.closing_until <= time.monotonic() else Cause.DEADLINE)
             self._answer_owed()
         except ClientLeft:
-            self._ends(Cause.PEER_END)
+            self.note_cause(Cause.PEER_END)
             self.closing = True
         except Exception as bad:
             if isinstance(bad, OSError) and self.wire.is_broken():
-                self._ends(Cause.RESET)
+                self.note_cause(Cause.RESET)
             else:
                 self.server.on_error(bad)
-                self._ends(Cause.OWN_ERROR)
+                self.note_cause(Cause.OWN_ERROR)
             self._answer_owed()
         if not exchange.answered and not self.closing:
             exchange.respond(500, [JSON], error_body("failed", "unanswered"), close=True)
@@ -341,7 +342,7 @@
 
     def _complain(self, bad: BadMessage) -> None:
         """A clear answer to a message whose framing is in doubt; the connection closes behind it."""
-        self._ends(Cause.BAD_MESSAGE)
+        self.note_cause(Cause.BAD_MESSAGE)
         self.closing = True
         self.server.on_bad(bad)
         self._send_error(bad.status, "bad-request", bad.text)
