--- a/fawnspool/net/server.py
+++ b/fawnspool/net/server.py
@@ -3,6 +3,7 @@
 It frames, bounds and times messages; what a request means is the handler's business. The handler gets an
 `Exchange` and must answer it exactly once; an exchange left unanswered is answered with 500 and closed.
 """
+
 from __future__ import annotations
 
 import errno
@@ -26,12 +27,12 @@
 
 __all__ = ["ClientLeft", "Connection", "Exchange", "Server", "address", "bind"]
 
-LOOKS = 64                  # waiting connections looked at for one that may make room
-FULL_S = 0.01               # a full server looks again so soon
-ACCEPTS = 16                # connections accepted in one turn of the loop, at most
-SETTLE_S = 0.02             # handshakes under way as new connections are refused end within it
-KILL_S = 1.0                # what is killed has so long to end
-STEP_S = 0.002              # between two looks at what is awaited
+LOOKS = 64  # waiting connections looked at for one that may make room
+FULL_S = 0.01  # a full server looks again so soon
+ACCEPTS = 16  # connections accepted in one turn of the loop, at most
+SETTLE_S = 0.02  # handshakes under way as new connections are refused end within it
+KILL_S = 1.0  # what is killed has so long to end
+STEP_S = 0.002  # between two looks at what is awaited
 
 
 class Server:
@@ -42,12 +43,24 @@
     and a client that sends over READ_AHEAD bytes behind a request in hand counts as gone. crowd: with so many
     connections open an answer ends its own; 0: never."""
 
-    def __init__(self, address: tuple[str, int], handler: Callable[[Exchange], None], *,
-                 limits: Limits | None = None, idle_close: float = 60.0, piece_timeout: float = 10.0,
-                 most: int = 4096, on_error: Callable[[Exception], None] | None = None,
-                 on_bad: Callable[[BadMessage], None] | None = None, listener: Any = None,
-                 turn: int = 0, due: Callable[[Head, float], float] | None = None,
-                 silent_close: float | None = None, evicts: bool = False, crowd: int = 0) -> None:
+    def __init__(
+        self,
+        address: tuple[str, int],
+        handler: Callable[[Exchange], None],
+        *,
+        limits: Limits | None = None,
+        idle_close: float = 60.0,
+        piece_timeout: float = 10.0,
+        most: int = 4096,
+        on_error: Callable[[Exception], None] | None = None,
+        on_bad: Callable[[BadMessage], None] | None = None,
+        listener: Any = None,
+        turn: int = 0,
+        due: Callable[[Head, float], float] | None = None,
+        silent_close: float | None = None,
+        evicts: bool = False,
+        crowd: int = 0,
+    ) -> None:
         self.handler, self.limits = handler, limits or Limits()
         self.idle_close, self.piece_timeout, self.most = idle_close, piece_timeout, most
         self.on_error = on_error or (lambda bad: None)
@@ -56,14 +69,14 @@
         self.silent_close, self.evicts = idle_close if silent_close is None else silent_close, evicts
         self.crowd = crowd
         self.accepted = 0
-        self.closings: dict[tuple[str, str], int] = {}     # connections that ended, by state and cause
+        self.closings: dict[tuple[str, str], int] = {}  # connections that ended, by state and cause
         self.on_unanswered: Callable[[Connection], None] = lambda conn: None
-        self.idle: dict[Connection, None] = {}      # between two requests, the longest first
-        self.silent: dict[Connection, None] = {}    # before their first one
-        self.stopping = False               # the listener is closed
-        self.leaving = False                # every answer is its connection's last
-        self.closing_until = math.inf       # nothing is waited for any longer (monotonic)
-        self.final = False                  # nothing more is read
+        self.idle: dict[Connection, None] = {}  # between two requests, the longest first
+        self.silent: dict[Connection, None] = {}  # before their first one
+        self.stopping = False  # the listener is closed
+        self.leaving = False  # every answer is its connection's last
+        self.closing_until = math.inf  # nothing is waited for any longer (monotonic)
+        self.final = False  # nothing more is read
         self.turnstile = Turnstile(turn) if turn else None
         self.due = due or (lambda head, came: came + piece_timeout)
         self.sock = listener if listener is not None else bind(address)
@@ -80,7 +93,7 @@
         while not self.stopping:
             turns += 1
             if turns % ACCEPTS == 0:
-                gevent.sleep(0)             # a flood of connections must not hold up those that stand
+                gevent.sleep(0)  # a flood of connections must not hold up those that stand
             try:
                 if self.evicts and len(self.open) >= self.most:
                     # Whoever comes now waits to be accepted until a place is free: it is not closed unheard.
@@ -109,7 +122,7 @@
         """Whatever it is, a server that takes nobody is worse than one that tries again."""
         if bad.errno in (errno.EMFILE, errno.ENFILE):
             if not self.evicts or not self.evict_idle():
-                gevent.sleep(FULL_S)        # out of descriptors: wait for one to be closed
+                gevent.sleep(FULL_S)  # out of descriptors: wait for one to be closed
         elif bad.errno != errno.ECONNABORTED:
             self.on_error(bad)
             gevent.sleep(FULL_S)
--- a/fawnspool/net/wire.py
+++ b/fawnspool/net/wire.py
@@ -4,6 +4,7 @@
 request (docs/measurements.md). Here a wait is one watcher on gevent's loop and one entry in a wheel of deadlines,
 which is looked at every `STEP` seconds: a wait may end so much late, and never early.
 """
+
 from __future__ import annotations
 
 import errno
@@ -26,7 +27,7 @@
 STEP = 0.002
 _STAMP_ROOM = 64
 _TIMESPEC = struct.Struct("qq")
-_TCP_CLOSE, _TCP_CLOSE_WAIT = 7, 8      # tcp(7), TCP_INFO, its first byte: it was reset; the peer has ended its side
+_TCP_CLOSE, _TCP_CLOSE_WAIT = 7, 8  # tcp(7), TCP_INFO, its first byte: it was reset; the peer has ended its side
 _INT = struct.Struct("i")
 
 
@@ -44,8 +45,8 @@
 
     def __init__(self) -> None:
         self.ticks: dict[int, set[Any]] = {}
-        self.order: list[int] = []      # a heap of ticks; some are gone by now, some stand twice
-        self.set_for = 0                # tick that the timer is set for; 0: none
+        self.order: list[int] = []  # a heap of ticks; some are gone by now, some stand twice
+        self.set_for = 0  # tick that the timer is set for; 0: none
         self.hub = get_hub()
         self.timer: Any = None
 
@@ -181,7 +182,7 @@
             self.waiting.popleft().open()
         if self.waiting:
             self.again.stop()
-            self.again.start(_nothing)      # the loop must not sleep while some wait
+            self.again.start(_nothing)  # the loop must not sleep while some wait
 
     def close(self) -> None:
         self.check.stop()
@@ -306,7 +307,7 @@
             self.writer.wait(deadline)
             if self.closed:
                 raise OSError(errno.EBADF, "closed here")
-            view = view[self._send_now(view):]
+            view = view[self._send_now(view) :]
         return len(data)
 
     def _send_now(self, data: bytes | memoryview) -> int:
@@ -451,7 +452,7 @@
     try:
         sock.setsockopt(std.IPPROTO_TCP, std.TCP_NODELAY, 1)
         code = sock.connect_ex(address)
-        if code in (errno.EINPROGRESS, errno.EINTR):    # one that a signal interrupts goes on all the same
+        if code in (errno.EINPROGRESS, errno.EINTR):  # one that a signal interrupts goes on all the same
             wire.writer = _Wait(sock.fileno(), 2)
             wire.writer.wait(deadline)
             code = sock.getsockopt(std.SOL_SOCKET, std.SO_ERROR)
--- a/fawnspool/relay/program.py
+++ b/fawnspool/relay/program.py
@@ -1,4 +1,5 @@
 """One live head: configuration, core, discovery and front put together, and the signals that the platform sends."""
+
 from __future__ import annotations
 
 import gc
@@ -25,7 +26,7 @@
 # PROTOCOL, Figures: after SIGTERM new connections come for 0.4 s at most, kept ones are used as long as they stay open,
 # and SIGKILL comes after the longest deadline, counted as 3 s at most, and 0.7 s more.
 NEW_S, COUNTED_S, MORE_S = 0.4, 3.0, 0.7
-TELL_S = 5.0            # between two lines of state in the log
+TELL_S = 5.0  # between two lines of state in the log
 _STEP = 0.02
 
 
@@ -37,11 +38,19 @@
         self.log = logs.get(head=config.name)
         s = config.settings
         bounds = places(config.sockets, s.cells)
-        self.core = Core(s, Controller(s, config.seed), ShelfSpeech(s),
-                         PoolBounds(bounds.node, s.connect_timeout or 0.25, IDLE_SHARE * config.idle_close,
-                                    lenient=True, cooldown=COOLDOWN), Sums(), self.log)
-        self.discovery = self.core.list = Discovery(config.discovery, config.zones, config.kinds, self.core.loop.tell,
-                                                    self.log, self.free_descriptor)
+        self.core = Core(
+            s,
+            Controller(s, config.seed),
+            ShelfSpeech(s),
+            PoolBounds(
+                bounds.node, s.connect_timeout or 0.25, IDLE_SHARE * config.idle_close, lenient=True, cooldown=COOLDOWN
+            ),
+            Sums(),
+            self.log,
+        )
+        self.discovery = self.core.list = Discovery(
+            config.discovery, config.zones, config.kinds, self.core.loop.tell, self.log, self.free_descriptor
+        )
         self.front = Front(self.core, s, config.listen, bounds, config.memory)
         self.ended = Event()
         self.teller: Any = None
@@ -58,10 +67,14 @@
         while True:
             gevent.sleep(TELL_S)
             now = self.figures()
-            self.log.info("state", connections=len(self.front.server.open), in_hand=len(self.front.open),
-                          to_shelfs=sum(p.open for p in self.core.pools.values()),
-                          **{k: round(v - before.get(k, 0), 4) for k, v in now.items() if v != before.get(k, 0)},
-                          nodes=self.nodes())
+            self.log.info(
+                "state",
+                connections=len(self.front.server.open),
+                in_hand=len(self.front.open),
+                to_shelfs=sum(p.open for p in self.core.pools.values()),
+                **{k: round(v - before.get(k, 0), 4) for k, v in now.items() if v != before.get(k, 0)},
+                nodes=self.nodes(),
+            )
             before = now
 
     def figures(self) -> dict[str, float]:
@@ -74,8 +87,14 @@
         rows += [(f"{outcome}: {why}", n) for (outcome, why), n in m.reasons.items()]
         rows += [(f"closed {state}: {why}", n) for (state, why), n in self.front.server.closings.items()]
         rows += [("accepted", self.front.server.accepted)]
-        rows += [("module_s", m.module_seconds), ("events", m.module_events), ("errors", m.module_errors),
-                 ("overdue", m.overdue), ("lag_s", m.lag.total), ("cpu_s", time.process_time())]
+        rows += [
+            ("module_s", m.module_seconds),
+            ("events", m.module_events),
+            ("errors", m.module_errors),
+            ("overdue", m.overdue),
+            ("lag_s", m.lag.total),
+            ("cpu_s", time.process_time()),
+        ]
         for name, value in rows:
             out[name] = out.get(name, 0.0) + value
         return out
@@ -83,9 +102,12 @@
     def nodes(self) -> list[str]:
         """A few words a node: cell, state, bound, held and out, mean response and wait in milliseconds."""
         lanes = self.core.loop.module.lanes.values()
-        return [f"{x.cell}:{'sound' if x.sound() else 'trials'}{'' if x.born is None else ' cold'} b{x.bound:.1f} "
-                f"h{x.held} o{len(x.out)} r{x.response * 1000:.0f} w{x.wait * 1000:.0f}"
-                for x in lanes if x.node is not None]
+        return [
+            f"{x.cell}:{'sound' if x.sound() else 'trials'}{'' if x.born is None else ' cold'} b{x.bound:.1f} "
+            f"h{x.held} o{len(x.out)} r{x.response * 1000:.0f} w{x.wait * 1000:.0f}"
+            for x in lanes
+            if x.node is not None
+        ]
 
     def free_descriptor(self) -> bool:
         """Close a connection that can be spared, a client's or one to a shelf: its descriptor is needed more."""
@@ -108,11 +130,11 @@
         what is in hand, and end. It ends when no connection is open, not when no request is known: what a connection
         that has just been accepted brings is known a moment later."""
         if self.front.until < math.inf:
-            return              # told before: a second signal gives no more time
+            return  # told before: a second signal gives no more time
         told, server = time.monotonic(), self.front.server
         end = ending(told, NEW_S, MORE_S + min(COUNTED_S, max(c.deadline for c in self.config.settings.classes)))
         self.front.until = end.answered
-        server.crowd = 0            # new connections end soon: from now on every kept one is needed
+        server.crowd = 0  # new connections end soon: from now on every kept one is needed
         self._log_step("ending")
         _wait_until(end.refuse, lambda: time.monotonic() >= end.unused and not server.open)
         server.leaving = True
@@ -130,8 +152,14 @@
 
     def _log_step(self, step: str, **more: Any) -> None:
         server = self.front.server
-        self.log.info(step, in_hand=len(self.front.open), connections=len(server.open), states=server.states(),
-                      accepted=server.accepted, **more)
+        self.log.info(
+            step,
+            in_hand=len(self.front.open),
+            connections=len(server.open),
+            states=server.states(),
+            accepted=server.accepted,
+            **more,
+        )
 
     def stop(self) -> None:
         self.teller.kill()
@@ -147,8 +175,9 @@
         gevent.sleep(_STEP)
 
 
-def read_whole(path: str, environ: Mapping[str, str], free_descriptor: Callable[[], bool] = lambda: False
-               ) -> RelayConfig:
+def read_whole(
+    path: str, environ: Mapping[str, str], free_descriptor: Callable[[], bool] = lambda: False
+) -> RelayConfig:
     """The configuration, read again while it may just be written. Raises ConfigError."""
     tries = 0
     while True:
@@ -181,15 +210,15 @@
     gevent.signal_handler(signal.SIGTERM, program.drain)
     gevent.signal_handler(signal.SIGINT, program.drain)
     try:
-        program.start()             # it listens from now on, and heeds signals before
+        program.start()  # it listens from now on, and heeds signals before
     except OSError as bad:
         log.error("can't start", error=bad.strerror or str(bad))
         return 3
     if early:
-        gevent.spawn(program.reload)    # the file may have been replaced behind our first reading
+        gevent.spawn(program.reload)  # the file may have been replaced behind our first reading
     program.log.info("serving", listen="{}:{}".format(*program.config.listen), sockets=program.config.sockets)
     gc.collect()
-    gc.freeze()                         # what stands now is never garbage: full collections look at the rest alone
+    gc.freeze()  # what stands now is never garbage: full collections look at the rest alone
     gc.set_threshold(20_000, 20, 50)
     program.ended.wait()
     program.stop()
--- a/tests/e2e/test_release.py
+++ b/tests/e2e/test_release.py
@@ -220,12 +220,13 @@
     """Its last byte may come as the head ends: it gets an answer while there is time for one."""
     rig = RelayRig(tmp_path, classes=with_deadline(0.4))
     try:
-        ending = gevent.spawn(rig.program.drain)
+        told, ending = time.monotonic(), gevent.spawn(rig.program.drain)
         sock = rests(rig, "r0") if used else plain_sock(rig.listen)
         gevent.sleep(0.3)
         sock.sendall(HALVES[half])
         got = answer(sock)
         assert got.startswith(b"HTTP/1.1 503") and got.count(b"HTTP/1.1") == 1
+        assert time.monotonic() < told + 0.4 + 0.7  # when it may be killed
         ending.join(timeout=2)
         assert rig.program.ended.is_set() and "w1" not in rig.asked()
     finally:
