--- a/fawnspool/head/loop.py
+++ b/fawnspool/head/loop.py
@@ -16,7 +16,7 @@
 import gevent
 
 from fawnspool import interface as i
-from fawnspool.net.wire import Gate
+from fawnspool.net.waits import Gate
 from fawnspool.telemetry.sums import Sums
 
 if TYPE_CHECKING:       # only a head that records needs the recorder and its libraries
--- a/fawnspool/head/pending.py
+++ b/fawnspool/head/pending.py
@@ -15,7 +15,7 @@
 
 from fawnspool.head.endings import Ending
 from fawnspool.interface import Request
-from fawnspool.net.wire import Gate
+from fawnspool.net.waits import Gate
 
 
 class State(Enum):
--- a/fawnspool/head/workers.py
+++ b/fawnspool/head/workers.py
@@ -6,7 +6,7 @@
 
 import gevent
 
-from fawnspool.net.wire import Gate
+from fawnspool.net.waits import Gate
 
 
 class Workers:
--- a/fawnspool/net/server.py
+++ b/fawnspool/net/server.py
@@ -23,7 +23,8 @@
 from fawnspool.net.connection import LINGER_S, ClientLeft, Connection, Exchange
 from fawnspool.net.http import BadMessage, Head, Limits
 from fawnspool.net.listener import address, bind, has_queued, listen, refuse_connections
-from fawnspool.net.wire import Turnstile, Wire
+from fawnspool.net.waits import Turnstile
+from fawnspool.net.wire import Wire
 
 __all__ = ["ClientLeft", "Connection", "Exchange", "Server", "address", "bind"]
 
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -20,7 +20,8 @@
 from fawnspool.net.nodewire import Call, Told, read_call, read_target, read_told, target
 from fawnspool.net.ranges import read_range, tag_matches
 from fawnspool.net.server import Exchange, Server
-from fawnspool.net.wire import Gate, Turnstile, Wire, connect, wheel
+from fawnspool.net.waits import Gate, Turnstile, wheel
+from fawnspool.net.wire import Wire, connect
 
 REQUESTS = (b"PUT /a HTTP/1.1\r\nHost: t\r\nContent-Length: 5\r\n\r\nhello"
             b"PUT /b HTTP/1.1\r\nHost: t\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n1\r\nc\r\n0\r\n\r\n"
