--- a/tests/e2e/test_hard_cases.py
+++ b/tests/e2e/test_hard_cases.py
@@ -80,6 +80,7 @@
 def test_every_ending_has_a_result_and_never_ran_is_certain() -> None:
     assert set(RESULTS) == set(Ending)
     doubt = {Ending.RESET, Ending.CLOSED, Ending.HALF_ANSWER, Ending.MALFORMED, Ending.WRONG_LENGTH, Ending.NO_ANSWER,
+             Ending.CUT_WITHOUT_LENGTH, Ending.ANSWERED_TO_CLOSE,
              Ending.NODE_ERROR, Ending.CALLED_OFF, Ending.ANSWERED, Ending.CLIENT_LEFT}
     assert set(Ending) - doubt == NEVER_RAN
 
--- a/tests/e2e/test_moving.py
+++ b/tests/e2e/test_moving.py
@@ -323,7 +323,7 @@
     at = put(rig, body=body)
     reader = Client(rig.address)
     reader.sock.sendall(f"GET {PLACE}k HTTP/1.1\r\nHost: t\r\nRange: bytes=100-\r\n\r\n".encode())
-    wait_for(lambda: rig.nodes[at].server.busy())
+    wait_for(lambda: "answering" in rig.nodes[at].server.states())
     writer = Client(rig.address)
     writer.sock.sendall(f"PUT {PLACE}k HTTP/1.1\r\nHost: t\r\nContent-Length: 6\r\n\r\nsec".encode())
     gevent.sleep(0.05)
