Hold a head's end to no open connection, as its decision from requests alone passed all tests

Found by putting the incident's mistake back (drain waits for requests in hand alone): every release test passed, as refusing connections first hides it. The scenario of the incident asserts now that nothing is open when the head says that it has ended; with the mistake put back both its cases fail (1 == 0), without it both pass. No line of the program changes.

--- a/tests/e2e/test_release.py
+++ b/tests/e2e/test_release.py
@@ -11,6 +11,7 @@
 from __future__ import annotations
 
 import contextlib
+import json
 import signal
 import time
 from collections.abc import Callable, Iterator
@@ -132,6 +133,8 @@
                 got = answer(late)
         wait_for(lambda: process.poll() is not None)
         kept.close()
+    ended = next(row for row in map(json.loads, log.read_text().splitlines()) if row["event"] == "ended")
+    assert ended["connections"] == 0 and ended["states"] == {}  # it asks for connections, not for requests it knows of
     return [("late", 0, "no answer")] if "late" in rig.asked() and not got.startswith(b"HTTP/1.1 ") else []
 
 
