Let slow start count from the gateway's start, whatever volumes were forgotten

Callers: a node that comes back cold could be sent more than it bears by a fleet that forgets volumes, and fall again. Cause: SlowStart read RateLimits.recorded_since as the gateway's start; that moves on with each forgotten volume, so what was served since the start was divided by too short a time, and the even part of a young gateway was granted.

--- a/fawnspool/scheduling/scheduler.py
+++ b/fawnspool/scheduling/scheduler.py
@@ -91,7 +91,7 @@
         self.delay_limit = admission.QueueingDelayLimit(settings, self.least_objective_s, self.random)
         self.retries = RetryPolicy(settings)
         self.order = RequestOrder()
-        self._is_started = False
+        self._started_at: float | None = None  # at its first event
         self._is_check_scheduled = False
         self._handlers: dict[type, Callable[[Any], None]] = {
             EndpointUpdate: self._on_endpoint_update,
@@ -116,8 +116,8 @@
         """
         self.now = now
         self.actions = []
-        if not self._is_started:
-            self._is_started = True
+        if self._started_at is None:
+            self._started_at = now
             self.rate_limits.recorded_since = now
         handler = self._handlers.get(type(event))
         if handler is not None:
@@ -263,7 +263,8 @@
         return self.retries.may_send(pending, node_queue.node, self.now, self.endpoints.nodes)
 
     def _may_be_fed(self, node_queue: NodeQueue) -> bool:
-        return node_queue.slow_start.may_send(self.now, self.rate_limits.recorded_since, self.settings, self.random)
+        assert self._started_at is not None
+        return node_queue.slow_start.may_send(self.now, self._started_at, self.settings, self.random)
 
     def _send(self, pending: PendingRequest, node_queue: NodeQueue) -> None:
         assert node_queue.node is not None
--- a/fawnspool/scheduling/slow_start.py
+++ b/fawnspool/scheduling/slow_start.py
@@ -79,7 +79,7 @@
         self.served_units += units
         self.credit_units += units
 
-    def may_send(self, now: float, recorded_since: float, settings: Settings, random: Random) -> bool:
+    def may_send(self, now: float, gateway_started_at: float, settings: Settings, random: Random) -> bool:
         """Return whether one more request may go, letting the credit grow first.
 
         Of what this gateway had served, the part that is warm counts, times half of what the multiple leaves above
@@ -91,8 +91,8 @@
         ----------
         now : float
             Seconds on the caller's clock.
-        recorded_since : float
-            From when on this gateway knows what it served.
+        gateway_started_at : float
+            From when on this gateway counts what it served.
         settings : Settings
             What a node that starts cold bears.
         random : Random
@@ -108,15 +108,17 @@
             self.credited_at = self.started_at - settings.overload_window_s
             drawn = random.random()
             self.credit_units = 0.0 if self.is_start_assumed else -settings.mean_units * drawn
-        growth_units_per_s = self._growth_units_per_s(age_s, self.started_at, recorded_since, settings)
+        growth_units_per_s = self._growth_units_per_s(age_s, self.started_at, gateway_started_at, settings)
         self.credit_units = min(0.0, self.credit_units + growth_units_per_s * (now - self.credited_at))
         self.credited_at = now
         return self.credit_units >= 0
 
-    def _growth_units_per_s(self, age_s: float, started_at: float, recorded_since: float, settings: Settings) -> float:
-        usual_units_per_s = self.served_units / max(started_at - recorded_since, settings.warm_up_s)
+    def _growth_units_per_s(
+        self, age_s: float, started_at: float, gateway_started_at: float, settings: Settings
+    ) -> float:
+        usual_units_per_s = self.served_units / max(started_at - gateway_started_at, settings.warm_up_s)
         cold = settings.initial_capacity_fraction
         warm_fraction = cold + (1 - cold) * max(0.0, age_s) / settings.warm_up_s
         even_part = settings.slow_start_units / 2 / settings.overload_window_s / settings.gateway_count
-        sure_units_per_s = even_part if recorded_since > started_at else 0.0
+        sure_units_per_s = even_part if gateway_started_at > started_at else 0.0
         return max((settings.overload_multiple - 1) / 2 * warm_fraction * usual_units_per_s, sure_units_per_s)
--- a/tests/test_cold_fleet.py
+++ b/tests/test_cold_fleet.py
@@ -12,6 +12,7 @@
 
 import pytest
 
+from fawnspool.scheduling import rate_limits
 from fawnspool.scheduling.interface import EndpointUpdate, Settings, UpdateKind
 from tests.conftest import GatewayDriver, entry, make_class, make_settings
 
@@ -134,3 +135,19 @@
     fleet.restart(saved, told=not saved)
     fleet.play(START + 0.4, START + SPAN, -1.0)
     assert fleet.excess(START + 0.4) <= 0
+
+
+@pytest.mark.parametrize("power", POWERS)
+def test_forgotten_volumes_let_no_gateway_send_a_cold_node_more(power: float, monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against a slow start that took gateways which forget volumes for younger than they are."""
+    monkeypatch.setattr(rate_limits, "MAX_VOLUMES", 4)  # five are in use
+    fleet, history_s = Fleet(10, power, 0.7, False, 3), 300.0
+    fleet.gateways = [GatewayDriver(fleet.settings, now=START - history_s, seed=k) for k in range(10)]
+    fleet.play(START - history_s, START, 1.0)
+    fleet.queue.clear()
+    fleet.sent.clear()
+    for gateway in fleet.gateways:
+        gateway.handle(EndpointUpdate(UpdateKind.DELTA, 3, (entry(10, 0, started=START),)))
+    fleet.rates = [10.0 * rate for rate in fleet.rates]
+    fleet.play(START, START + SPAN, -1.0)
+    assert fleet.excess(START) <= 0 and fleet.sent
--- a/tests/test_former_decisions.py
+++ b/tests/test_former_decisions.py
@@ -85,6 +85,7 @@
         self.former = former(self.settings, seed)
         self.today = Scheduler(self.settings, seed)
         self.now = self.random.choice([0.0, 100.0])
+        mend_slow_start(self.former.inner, self.now)
         self.pause_s = self.random.choice([0.01, 0.05, 0.3])
         self.fault_rate = self.random.choice([0.0, 0.1, 0.5])
         self.nodes = self.random.choice([1, 2, 3, MAX_NODES])
@@ -214,6 +215,23 @@
         return interface.Timer(self.random.choice([0, POLL_TOKEN, self.random.randrange(self.requests + 2)]))
 
 
+def mend_slow_start(former: Any, started_at: float) -> None:
+    """Let the former build's slow start count from the gateway's start, as today's does; its other decisions stay.
+
+    It counted from when the record of volumes was whole, which moves on as one is forgotten.
+    """
+    cold_room = former._cold_room
+
+    def cold_room_since_start(lane: Any) -> Any:
+        recorded_since, former.since = former.since, started_at
+        try:
+            return cold_room(lane)
+        finally:
+            former.since = recorded_since
+
+    former._cold_room = cold_room_since_start
+
+
 def result_of(decisions: Any, now: float, event: interface.Event) -> tuple[list[interface.Action], str]:
     """The actions, and the error that was raised."""
     try:
