Say that a full disk has room again only when a vote was written

People on call: a voter's log said votes_not_persisted and votes_persisted_again in turn, and the status page showed and hid VOTES CAN NOT BE KEPT, while the disk stayed full. Cause: AcceptorRunner took each batch of actions without an error for a write; answers that need no vote write nothing. Evidence: tests/test_acceptor_log.py -k told_once saw five more lines than the one due without the change. Change: the failure ends with a vote that was written.

--- a/fawnspool/gateway/acceptor_runner.py
+++ b/fawnspool/gateway/acceptor_runner.py
@@ -68,13 +68,12 @@
                     self._carry_out(action)
             except OSError as error:
                 self._record_disk_failure(error)
-            else:
-                self._record_disk_success()
 
     def _carry_out(self, action: LeaseAction) -> None:
         if isinstance(action, PersistVotes):
             gevent.get_hub().threadpool.apply(self.votes.persist, (action,))
             self.acceptor.confirm_persisted(action)
+            self._record_disk_success()
         else:
             self._send([action])
 
--- a/tests/test_acceptor_log.py
+++ b/tests/test_acceptor_log.py
@@ -11,8 +11,12 @@
 
 from benchmarks.duties_walks import terms
 from fawnspool.gateway.acceptor_log import FILE_NAME, AcceptorLog
-from fawnspool.leases.actions import AcceptorMemory, PersistVotes, VoteRecord
+from fawnspool.gateway.acceptor_runner import AcceptorRunner
+from fawnspool.leases.acceptor import Acceptor
+from fawnspool.leases.actions import AcceptorMemory, LeaseMember, PersistVotes, SendLeaseMessage, VoteRecord
 from fawnspool.leases.ballot import Ballot
+from fawnspool.leases.messages import BallotEntry, LeaseMessage, LeaseMessageType
+from tests.e2e.rig import wait_for
 
 SETTINGS = terms(5, 3, 8)
 
@@ -86,3 +90,50 @@
     from fawnspool.records.frames import FrameReader
 
     assert list(FrameReader(tmp_path / FILE_NAME)) == [["mark", SETTINGS.fingerprint], ["vote", 1, 5, 7], ["floor", 3]]
+
+
+class EventNames:
+    """A logger that keeps the names of the events."""
+
+    def __init__(self) -> None:
+        self.names: list[str] = []
+
+    def _note(self, event: str, **fields: Any) -> None:
+        self.names.append(event)
+
+    debug = info = warning = error = _note
+
+
+def test_a_full_disk_is_told_once_however_many_answers_need_no_vote_in_between(tmp_path: Path) -> None:
+    """Guards against `votes_persisted_again`, and a voter shown as well, while its disk is still full."""
+    log, sent = EventNames(), list[SendLeaseMessage]()
+    votes = AcceptorLog(tmp_path, SETTINGS, sync=False)
+    votes.persist(PersistVotes((), 0))
+    persist, is_full = votes.persist, True
+
+    def persist_or_fail(batch: PersistVotes) -> None:
+        if is_full:
+            raise OSError(errno.ENOSPC, "No space left on device")
+        persist(batch)
+
+    votes.persist = persist_or_fail  # type: ignore[method-assign]
+    acceptor = Acceptor(SETTINGS, LeaseMember(0, 5, seed=1), 10.0, AcceptorMemory({}, 0))
+    runner = AcceptorRunner(acceptor, votes, sent.extend, log)
+    runner.start()
+
+    def ask(incarnation: int, token: int) -> None:
+        request = LeaseMessage(
+            LeaseMessageType.VOTE_REQUEST, SETTINGS.fingerprint, incarnation, token, entries=(BallotEntry(0, token),)
+        )
+        runner.receive(10.0, 3, request)
+
+    for token in (1, 2, 3):
+        ask(6, token)
+        ask(7, token)  # rejected: nothing to write
+    wait_for(lambda: len(sent) == 3)
+    assert log.names == ["votes_not_persisted"] and acceptor.disk_failed
+    is_full = False
+    ask(6, 4)
+    wait_for(lambda: len(sent) == 4)
+    assert log.names == ["votes_not_persisted", "votes_persisted_again"] and not acceptor.disk_failed
+    runner.stop()
