Keep the greenlets of leases, gossip and the peer socket alive whatever a message meets

Callers: none fails, but a gateway heard no peer, renewed no lease and gave no vote until a restart, in silence. Cause: handlers ran unguarded, and gevent ends a greenlet with its first exception. One datagram was enough: a token of 2^64 - 1 in a nomination or an answer, above which the next token does not fit the wire (struct.error). Change: a token stays within the wire's; each loop logs what it met as an error and goes on, and the message counts as lost. A vote whose write raised is not announced.

--- a/fawnspool/gateway/acceptor_runner.py
+++ b/fawnspool/gateway/acceptor_runner.py
@@ -68,6 +68,8 @@
                     self._carry_out(action)
             except OSError as error:
                 self._record_disk_failure(error)
+            except Exception:  # the loop must outlive whatever one batch meets; nothing behind the fault is sent
+                self.log.error("acceptor_actions_failed", exc_info=True)
 
     def _carry_out(self, action: LeaseAction) -> None:
         if isinstance(action, PersistVotes):
--- a/fawnspool/gateway/gossip_runner.py
+++ b/fawnspool/gateway/gossip_runner.py
@@ -27,6 +27,7 @@
 
 MAX_STATUS_VOLUMES = 100
 MIN_SLEEP_S = 0.001
+ROUND_RETRY_S = 0.05  # after a round that raised
 CODEC = PeerCodec("gossip", LEADING_BYTE, encode, decode, GossipMessageError)
 
 
@@ -116,9 +117,15 @@
     def _run(self) -> None:
         while True:
             gevent.sleep(max(MIN_SLEEP_S, self.agent.next_round_at() - time.monotonic()))
-            now = time.monotonic()
-            self._carry_out(self.agent.run_round(now, self.view.listed_count(), self.view.suspects()))
-            self._note_isolation(self.agent.is_isolated(now))
+            try:
+                self._run_round(time.monotonic())
+            except Exception:  # the loop must outlive whatever one round meets
+                self.log.error("gossip_round_failed", exc_info=True)
+                gevent.sleep(ROUND_RETRY_S)
+
+    def _run_round(self, now: float) -> None:
+        self._carry_out(self.agent.run_round(now, self.view.listed_count(), self.view.suspects()))
+        self._note_isolation(self.agent.is_isolated(now))
 
     def _note_isolation(self, is_isolated: bool) -> None:
         if is_isolated and not self.is_isolated:
--- a/fawnspool/gateway/lease_runner.py
+++ b/fawnspool/gateway/lease_runner.py
@@ -38,6 +38,7 @@
 from fawnspool.telemetry.logs import EventLogger
 
 MAX_INBOX = 4096  # datagrams that wait for their turn
+STEP_RETRY_S = 0.05  # after a step that raised
 RELEASE_PAUSE_S = 0.02  # after each of the two release messages
 WORK_KILL_TIMEOUT_S = 0.02
 WORK_FINISHED = "its work is over"
@@ -167,7 +168,11 @@
             wait_s = (deadline - self.clock()) / self.config.clock_rate
             has_messages = self._has_messages.wait(max(0.0, wait_s))
             self._has_messages.clear()
-            self._step(None if has_messages else deadline)
+            try:
+                self._step(None if has_messages else deadline)
+            except Exception:  # the loop must outlive whatever one step meets
+                self.log.error("lease_step_failed", exc_info=True)
+                gevent.sleep(STEP_RETRY_S)
 
     def _next_deadline(self) -> float:
         if self.acceptor is None:
@@ -186,11 +191,7 @@
         if woken_at is not None:
             self._send(self.holder.record_lag(now, now - woken_at))
         while self._inbox:
-            sender, message = self._inbox.popleft()
-            if message.type in FOR_HOLDER:
-                self._send(self.holder.receive(now, sender, message))
-            elif self.acceptor is not None:
-                self.acceptor.receive(now, sender, message)
+            self._receive(now, *self._inbox.popleft())
         self._send(self.holder.tick(now))
         if self.acceptor is not None:
             self.acceptor.tick(now)
@@ -198,6 +199,16 @@
         for lease in self.leases.values():
             self.record.add_renewal(lease, self.holder.expires_at(lease.role))
 
+    def _receive(self, now: float, sender: int, message: LeaseMessage) -> None:
+        """Handle one message; where that raises, it counts as lost."""
+        try:
+            if message.type in FOR_HOLDER:
+                self._send(self.holder.receive(now, sender, message))
+            elif self.acceptor is not None:
+                self.acceptor.receive(now, sender, message)
+        except Exception:
+            self.log.error("lease_message_failed", sender=sender, message_type=message.type.name, exc_info=True)
+
     # ------------------------------------------------------------ events
 
     def _handle_events(self) -> None:
--- a/fawnspool/gateway/peer_channel.py
+++ b/fawnspool/gateway/peer_channel.py
@@ -1,6 +1,7 @@
 """Typed messages of one subsystem over the gateways' peer socket.
 
-The leading byte of a datagram body tells whose it is. A body that can't be decoded is counted and dropped.
+The leading byte of a datagram body tells whose it is. A body that can't be decoded is counted and dropped; one whose
+handler raises is logged and dropped.
 """
 
 from __future__ import annotations
@@ -56,7 +57,10 @@
                     "peer_message_malformed", subsystem=self.codec.subsystem, sender=sender, reason=str(error)
                 )
                 return
-            handler(sender, message)
+            try:
+                handler(sender, message)
+            except Exception:  # the peer socket must outlive whatever one message meets
+                self.log.error("peer_message_failed", subsystem=self.codec.subsystem, sender=sender, exc_info=True)
 
         self.peers.subscribe(self.codec.leading_byte, receive)
 
--- a/fawnspool/gateway/peers.py
+++ b/fawnspool/gateway/peers.py
@@ -19,8 +19,10 @@
 
 from fawnspool.connections.incarnations import IncarnationFilter
 from fawnspool.scheduling import interface
+from fawnspool.telemetry import logs
 
 MAX_BODY_BYTES = 256
+SOCKET_RETRY_S = 0.05  # after an error of the socket itself
 _MAGIC = b"FP1"
 _HEADER = struct.Struct(">3sIQQ")
 _RECEIVE_BYTES = 2048  # more than any datagram of ours has, so that a longer one shows
@@ -50,6 +52,7 @@
         self.gateway_id = gateway_id
         self.addresses = addresses
         self.post = post
+        self.log = logs.get(head=gateway_id)
         self.incarnation = time.time_ns()
         self.last_number = 0
         self.seen: dict[int, IncarnationFilter] = {}
@@ -86,7 +89,14 @@
                 datagram, _ = self.sock.recvfrom(_RECEIVE_BYTES)
             except ConnectionError:
                 continue  # an earlier datagram found nobody listening
-            self._receive(datagram)
+            except OSError:
+                self.log.error("peer_socket_failed", exc_info=True)
+                gevent.sleep(SOCKET_RETRY_S)
+                continue
+            try:
+                self._receive(datagram)
+            except Exception:  # the socket must outlive whatever one datagram meets
+                self.log.error("peer_datagram_failed", exc_info=True)
 
     def _receive(self, datagram: bytes) -> None:
         if not _HEADER.size <= len(datagram) <= _HEADER.size + MAX_BODY_BYTES:
--- a/fawnspool/leases/lease_holder.py
+++ b/fawnspool/leases/lease_holder.py
@@ -14,6 +14,7 @@
 from fawnspool.leases.ballot import BallotVerdict
 from fawnspool.leases.candidate import NEVER, Proposal
 from fawnspool.leases.messages import (
+    MAX_TOKEN,
     Availability,
     BallotEntry,
     LeaseMessage,
@@ -155,7 +156,8 @@
         self._highest_tokens[role] = max(self._highest_tokens.get(role, 0), token)
 
     def _raise_token(self, role: int) -> int:
-        self._highest_tokens[role] = self._highest_tokens.get(role, 0) + 1
+        """Return a token above all that were heard of; the highest that there is can't be outbid."""
+        self._highest_tokens[role] = min(self._highest_tokens.get(role, 0) + 1, MAX_TOKEN)
         return self._highest_tokens[role]
 
     def _request_votes(self, now: float, entries: list[BallotEntry]) -> list[LeaseAction]:
--- a/fawnspool/leases/messages.py
+++ b/fawnspool/leases/messages.py
@@ -28,6 +28,7 @@
 LEADING_BYTE = 0xD0
 MAX_ENTRIES = 17  # of one body
 MAX_WAIT_MS = 65_535
+MAX_TOKEN = (1 << 64) - 1
 _MAX_U16 = 0xFFFF
 _U32_MASK = 0xFFFFFFFF
 _HEADER = struct.Struct(">BBIQIHH")
