Log why a gateway takes no roles for a while, and for how long

Cause: elections of five gateways took over 4 s beside load, and nothing told late event loops from unanswered candidacies: a pause in which a gateway holds no role was logged nowhere. Change: candidacy_paused with the reason and the length, once a pause. Decisions stay as they were. Measured: tests/test_leases.py and tests/test_peer_message_faults.py pass.

--- a/fawnspool/gateway/lease_runner.py
+++ b/fawnspool/gateway/lease_runner.py
@@ -24,6 +24,7 @@
 from fawnspool.gateway.peers import PeerSocket
 from fawnspool.leases.acceptor import Acceptor
 from fawnspool.leases.actions import LeaseAction, LeaseMember, SendLeaseMessage
+from fawnspool.leases.candidate import NEVER
 from fawnspool.leases.fencing import StaleTokenError
 from fawnspool.leases.lease_holder import NOT_RENEWED, LeaseAcquired, LeaseHolder, LeaseLost
 from fawnspool.leases.messages import (
@@ -98,6 +99,7 @@
         self._inbox: deque[tuple[int, LeaseMessage]] = deque(maxlen=MAX_INBOX)
         self._has_messages = Event()
         self._greenlets: list[Any] = []
+        self._logged_pause_until = NEVER
 
     def _open_acceptor(self, folder: Path) -> AcceptorRunner | None:
         if self.member.gateway_id not in self.settings.acceptors:
@@ -198,6 +200,15 @@
         self._handle_events()
         for lease in self.leases.values():
             self.record.add_renewal(lease, self.holder.expires_at(lease.role))
+        self._log_pause(now)
+
+    def _log_pause(self, now: float) -> None:
+        """Say once of each pause in which this gateway takes no roles why it began, and how long it lasts."""
+        backoff = self.holder.backoff
+        if backoff.reason is None or backoff.until <= max(now, self._logged_pause_until):
+            return
+        self._logged_pause_until = backoff.until
+        self.log.info("candidacy_paused", reason=backoff.reason.value, pause_s=round(backoff.until - now, 3))
 
     def _receive(self, now: float, sender: int, message: LeaseMessage) -> None:
         """Handle one message; where that raises, it counts as lost."""
--- a/fawnspool/leases/backoff.py
+++ b/fawnspool/leases/backoff.py
@@ -2,12 +2,22 @@
 
 from __future__ import annotations
 
+from enum import Enum
+
 from fawnspool.leases.candidate import NEVER
 
 MAX_UNUSABLE = 4
 MAX_UNANSWERED = 3
 
 
+class PauseReason(Enum):
+    """Why a gateway takes no roles for a while, as logs say it."""
+
+    UNUSABLE = "what a role needs is out of reach"
+    UNANSWERED = "no majority of acceptors answered in time"
+    LAGGING = "its event loop runs late"
+
+
 class CandidacyBackoff:
     """Until when a gateway takes no roles, longer each time in a row.
 
@@ -15,11 +25,17 @@
     ----------
     lease_s
         The lease in seconds; pauses are multiples of it.
+
+    Attributes
+    ----------
+    until, reason
+        When the latest pause ends, and why it began; None before the first.
     """
 
     def __init__(self, lease_s: float) -> None:
         self.lease_s = lease_s
         self.until = NEVER
+        self.reason: PauseReason | None = None
         self._unusable = 0
         self._unanswered = 0
 
@@ -35,6 +51,7 @@
         if self.is_over(now):
             self._unusable = min(MAX_UNUSABLE, self._unusable + 1)
             self.until = now + self.lease_s * 2.0 ** (self._unusable - 1)
+            self.reason = PauseReason.UNUSABLE
 
     def record_unanswered(self, now: float) -> bool:
         """Pause as no majority of acceptors was heard; return whether a pause began.
@@ -45,11 +62,13 @@
             return False
         self._unanswered = min(MAX_UNANSWERED, self._unanswered + 1)
         self.until = now + self.lease_s * 2.0 ** (self._unanswered - 1) / 2
+        self.reason = PauseReason.UNANSWERED
         return True
 
     def record_lagging(self, now: float) -> None:
         """Pause for a lease as the event loop runs late."""
         self.until = max(self.until, now + self.lease_s)
+        self.reason = PauseReason.LAGGING
 
     def record_usable(self) -> None:
         """Take note that what a role needs was within reach."""
