Count a delete as no migration in the rate of migrations

Callers: a gateway with a stale map asked the map service before a send more often where extents were deleted. Cause: each record whose shard differs counted as a migration, and a tombstone's shard is -1. Evidence: tests/e2e/test_map.py -k no_migration observed [1, 1] where [0, 1] is due without the change, passes with it. Change: a tombstone moves nothing.

--- a/fawnspool/gateway/extent_directory.py
+++ b/fawnspool/gateway/extent_directory.py
@@ -17,6 +17,7 @@
 from fawnspool.extents.map import ExtentMap, Partition, partition_of
 from fawnspool.extents.records import (
     NO_GENERATION,
+    NO_SHARD,
     ExtentRecord,
     ExtentState,
     ExtentWrite,
@@ -346,12 +347,15 @@
 def _migrations_in(
     delta: MapDelta, previous: ExtentMap, partition: Partition, span_s: float
 ) -> MigrationObservation | None:
-    """Return how many extents a delta moved to another shard; a snapshot does not show that."""
+    """Return how many extents a delta moved to another shard; a snapshot does not show that.
+
+    A delete moves nothing: it leaves no record that could be stale.
+    """
     if delta.is_snapshot:
         return None
     migrations = 0
     for record in delta.records:
         known = previous.find(record.volume, record.extent)
-        if known is not None and known.shard != record.shard:
+        if known is not None and record.shard not in (known.shard, NO_SHARD):
             migrations += 1
     return MigrationObservation(migrations, len(partition.records), span_s)
--- a/tests/e2e/test_map.py
+++ b/tests/e2e/test_map.py
@@ -15,8 +15,16 @@
 
 from fawnspool.extents import checkpointing
 from fawnspool.extents.map import ExtentMap, Partition
-from fawnspool.extents.records import LOG_START, ExtentWrite
-from fawnspool.extents.staleness import Staleness, StalenessSettings
+from fawnspool.extents.records import (
+    LOG_START,
+    NO_SHARD,
+    ExtentRecord,
+    ExtentState,
+    ExtentWrite,
+    MapDelta,
+    Stamp,
+)
+from fawnspool.extents.staleness import MigrationObservation, Staleness, StalenessSettings
 from fawnspool.gateway import map_store
 from fawnspool.gateway.extent_directory import ExtentDirectory
 from fawnspool.gateway.map_client import MapClient, MapServiceError
@@ -437,3 +445,36 @@
         assert "fawnspool_map_wrong_sends_total 1.0" in page and "fawnspool_map_age_seconds " in page
     finally:
         rig.stop()
+
+
+@pytest.fixture
+def observed(monkeypatch: pytest.MonkeyPatch) -> list[MigrationObservation]:
+    """What directories tell of migrations."""
+    seen = list[MigrationObservation]()
+    notified = Staleness.notified
+
+    def note(self: Staleness, now: float, partition: int, complete: bool, observed: Any = None) -> None:
+        seen.extend([observed] if observed is not None else [])
+        notified(self, now, partition, complete, observed)
+
+    monkeypatch.setattr(Staleness, "notified", note)
+    return seen
+
+
+def small_directory() -> ExtentDirectory:
+    """One of a single partition that holds two extents."""
+    directory = ExtentDirectory(MapClient(("127.0.0.1", 1), 0.1), Staleness(StalenessSettings(), 1, 1), logs.get())
+    directory.watch_began(1)
+    records = tuple(ExtentRecord("v", key, 3, Stamp(1, 1, version)) for version, key in enumerate("ab", 1))
+    directory.delta_received(MapDelta(0, 1, 0, 2, records, is_snapshot=True))
+    return directory
+
+
+def test_a_delete_is_no_migration(observed: list[MigrationObservation]) -> None:
+    """Guards against questions to the map service that grow with deletes, which leave no record to be stale."""
+    directory = small_directory()
+    tombstone = ExtentRecord("v", "a", NO_SHARD, Stamp(2, 1, 3), ExtentState.DELETED)
+    moved = ExtentRecord("v", "b", 4, Stamp(2, 1, 4))
+    directory.delta_received(MapDelta(0, 1, 2, 3, (tombstone,)))
+    directory.delta_received(MapDelta(0, 1, 3, 4, (moved,)))
+    assert [seen.migrations for seen in observed] == [0, 1]
