Begin the first span of a map of one partition with its directory

Callers: none by themselves; the first migrations that a gateway heard of counted over the machine's uptime, as next to none, so that a map that went stale then was trusted for longer than it should be. Cause: the last notification began at 0 on the monotonic clock, and only another number of partitions replaced it. Evidence: tests/e2e/test_map.py -k first_span saw a span of 1,197.7 s without the change on a directory 0.3 ms old. Change: it begins with the directory.

--- a/fawnspool/gateway/extent_directory.py
+++ b/fawnspool/gateway/extent_directory.py
@@ -86,7 +86,7 @@
         self.lookups = 0
         self.misdirected_sends = 0
         self._stopped = False
-        self._notified_at: list[float] = [0.0]  # by partition, monotonic
+        self._notified_at: list[float] = [time.monotonic()]  # by partition, monotonic
 
     def _watch_of(self, client: MapClient) -> MapWatch:
         heartbeat_interval_s = self.staleness.settings.heartbeat_interval_s
--- a/tests/e2e/test_map.py
+++ b/tests/e2e/test_map.py
@@ -478,3 +478,14 @@
     directory.delta_received(MapDelta(0, 1, 2, 3, (tombstone,)))
     directory.delta_received(MapDelta(0, 1, 3, 4, (moved,)))
     assert [seen.migrations for seen in observed] == [0, 1]
+
+
+def test_the_first_span_of_a_map_of_one_partition_begins_with_the_directory(
+    observed: list[MigrationObservation],
+) -> None:
+    """Guards against a first span that is the machine's uptime: its migrations count as next to none."""
+    began = time.monotonic()
+    directory = ExtentDirectory(MapClient(("127.0.0.1", 1), 0.1), Staleness(StalenessSettings(), 1, 1), logs.get())
+    directory.watch_began(1)
+    directory.delta_received(MapDelta(0, 1, 0, 1, (ExtentRecord("v", "a", 3, Stamp(1, 1, 1)),)))
+    assert len(observed) == 1 and observed[0].span_s <= time.monotonic() - began
