--- a/fawnspool/model/simulated_gateway.py
+++ b/fawnspool/model/simulated_gateway.py
@@ -67,11 +67,10 @@
     def kill(self) -> None:
         """End the process: the connections of its clients close."""
         self._simulation.record("head", head=self.number, what="killed")
-        self.up = False
+        self.end_life()
         for pending in self._pending.values():
             pending.client_try.answer(TryResult.CLOSED, 0.0, 0)
         self._pending = {}
-        self.drop_deferred()
 
     def attempts_at(self, node_number: int) -> list[NodeAttempt]:
         """Return the attempts that a node has or is about to get."""
--- a/fawnspool/model/simulated_process.py
+++ b/fawnspool/model/simulated_process.py
@@ -29,10 +29,10 @@
         self.life += 1
         self.up = True
 
-    def drop_deferred(self) -> None:
-        """Let go of what waited for a stall's end, after the process was killed."""
-        for call, arguments in self._deferred:
-            call(*arguments)
+    def end_life(self) -> None:
+        """Kill the process: a stall ends with it, and what waited for that is gone."""
+        self.up = False
+        self._stalled_until = 0.0
         self._deferred = []
 
     def stall(self, until: float) -> None:
--- a/tests/test_model_world.py
+++ b/tests/test_model_world.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import signal
+from collections.abc import Iterator
 from dataclasses import replace
 from pathlib import Path
 from typing import Any
@@ -11,7 +13,7 @@
 from fawnspool.baselines.passthrough import PassThrough
 from fawnspool.config.schema import load
 from fawnspool.days.checks import check_day
-from fawnspool.days.day import Day
+from fawnspool.days.day import Day, TroubleBlock
 from fawnspool.days.rule_terms import rule_terms
 from fawnspool.days.service_value import value_service
 from fawnspool.model.engine import Engine
@@ -48,6 +50,34 @@
     assert seen[-1] == (7.0, "c")
 
 
+@pytest.fixture
+def time_limit() -> Iterator[None]:
+    """Ends a test that does not end by itself."""
+
+    def end(number: int, frame: Any) -> None:
+        message = "the day does not end"
+        raise TimeoutError(message)
+
+    former = signal.signal(signal.SIGALRM, end)
+    signal.alarm(60)
+    yield
+    signal.alarm(0)
+    signal.signal(signal.SIGALRM, former)
+
+
+@pytest.mark.usefixtures("time_limit")
+def test_a_gateway_that_is_killed_while_it_is_stalled_is_gone() -> None:
+    """Guards against a day that never ends: what waited for the stall's end was put off again and again."""
+    stall = TroubleBlock(name="stall", kind="head_stall", at=2.0, length=2.0, part=1.0, size=6.0, every=1.0)
+    kill = TroubleBlock(name="kill", kind="head_kill", at=4.5, length=1.0, part=1.0, down=1.0)
+    bad_day = day("bad-day")
+    world, verdict, share = play(replace(bad_day, day=replace(bad_day.day, length=12.0), trouble=(stall, kill)))
+    states = [(row["what"], row["t"]) for row in world.rows if row["k"] == "head"]
+    killed_at = max(time for what, time in states if what == "killed")
+    assert [what for what, time in states if time > killed_at] == ["up"] * bad_day.day.heads
+    assert verdict.kept and not world.errors and share > 0.2
+
+
 def test_the_same_seed_gives_the_same_records() -> None:
     first, second, other = (play(day("crash"), seed)[0].rows for seed in (1, 1, 2))
     assert first == second and first != other
