--- a/fawnspool/drill/play.py
+++ b/fawnspool/drill/play.py
@@ -148,6 +148,7 @@
                 wait = self.start + trouble.at - time.monotonic()
                 self.tasks.append(gevent.spawn_later(wait, self._trouble, trouble))
             self._await_clients()
+            self._check_faults()
         finally:
             lag.kill()
             gevent.killall(self.tasks)
@@ -356,6 +357,12 @@
         if self.clients.child.returncode:
             raise DrillError(f"clients ended with {self.clients.child.returncode}: {self.clients._tail()}")
 
+    def _check_faults(self) -> None:
+        """Raise what ended a fault early: a day without its faults shows nothing."""
+        for task in self.tasks:
+            if task.exception is not None:
+                raise task.exception
+
     def _tear_down(self) -> None:
         for k, head in enumerate(self.heads):
             self.note("head", head=k, what="ended")
--- a/tests/e2e/test_processes.py
+++ b/tests/e2e/test_processes.py
@@ -15,12 +15,15 @@
 from pathlib import Path
 from typing import Any
 
+import gevent
 import pytest
 
 from fawnspool.config.render import render
 from fawnspool.config.schema import load
 from fawnspool.days.checks import check_day
 from fawnspool.days.day import Day
+from fawnspool.drill.play import Play
+from tests.e2e.rig import wait_for
 
 ROOT = Path(__file__).parent.parent.parent
 CLI = [sys.executable, "-m", "fawnspool.cli"]
@@ -188,3 +191,13 @@
     )
     assert got.returncode == 3 and "choose another head.listen" in got.stderr
     time.sleep(0)
+
+
+def test_a_fault_that_ends_early_fails_the_play() -> None:
+    """Guards against a day that is judged without its fault, of which only a line on standard error told."""
+    play = Play.__new__(Play)
+    failing = gevent.spawn(lambda: wait_for(lambda: False, 0.01))
+    play.tasks = [gevent.spawn(lambda: None), failing]
+    gevent.joinall(play.tasks)
+    with pytest.raises(AssertionError, match="did not come"):
+        play._check_faults()
