Wait until a forgetful acceptor's new life holds a role, under tokens that were promised before

Seen: test_each_doctored_process_is_found[forgets_votes] failed beside load: no token was given twice. Cause: the doctored fault had no effect to be found.

--- a/tests/e2e/doctored.py
+++ b/tests/e2e/doctored.py
@@ -10,6 +10,7 @@
 from collections.abc import Callable
 from contextlib import suppress
 from dataclasses import replace
+from pathlib import Path
 from types import SimpleNamespace
 from typing import Any
 
@@ -28,6 +29,8 @@
 
 DISK_FULL = "disk-full"  # a file in an acceptor's folder: nothing more can be written there
 PERSISTED_VOTES = "persisted.jsonl"  # beside it: role, token and incarnation of each vote that was written
+FIRST_LIFE = "first-life"  # a file in the folder of an acceptor that has lived
+FIRST_LIFE_TOKENS = 1_000
 UNWRITTEN_VOTES = "unwritten"  # beside it, once a vote found the disk full
 
 
@@ -64,12 +67,15 @@
 
 
 def forgets_votes() -> None:
-    """An acceptor that takes its empty memory for complete."""
+    """An acceptor that takes its empty memory for complete. Its first life had promised many tokens, so that those of
+    later lives are under them however often elections are repeated."""
     real = acceptor_log.AcceptorLog.__init__
 
-    def init(self: Any, *args: Any) -> None:
-        real(self, *args)
-        self.memory = AcceptorMemory({}, 0)
+    def init(self: Any, folder: Path, *args: Any) -> None:
+        real(self, folder, *args)
+        is_first_life = not (folder / FIRST_LIFE).exists()
+        (folder / FIRST_LIFE).touch()
+        self.memory = AcceptorMemory({}, FIRST_LIFE_TOKENS if is_first_life else 0)
 
     acceptor_log.AcceptorLog.__init__ = init  # type: ignore[method-assign]
 
--- a/tests/e2e/test_leases.py
+++ b/tests/e2e/test_leases.py
@@ -243,19 +243,29 @@
     assert acquired_without_quorum(tmp_path)
 
 
-class _OnceHeld(Play):
+class _OnceHeld(_Watched):
     """Kills the voters once every shard of the drain has a holder that has shown its token: before that there is
-    nothing to forget."""
+    nothing to forget. The day goes on until one of the voters' new lives holds a role: before that nothing shows."""
+
+    lives_before: frozenset[int] = frozenset()
 
     def _do_duty_voters(self, x: TroubleBlock, cells: Any, heads: Any, lost: bool = False) -> None:
         duties = load(FILE, Day, check_day).duties
         assert duties is not None
         shards = sum(d.shards for d in duties.duty if d.name == "drain")
         wait_for(
-            lambda: sum(r.role.startswith("drain") for r in self.catalogue.database.roles.holders()) >= shards, 20.0
+            lambda: sum(r.role.startswith("drain") for r in self.catalogue.database.roles.holders()) >= shards, 60.0
         )
+        self.lives_before = frozenset(change.incarnation for change in self._changes())
         super()._do_duty_voters(x, cells, heads, lost)
 
+    def _await_clients(self) -> None:
+        super()._await_clients()
+        if self.lives_before:
+            wait_for(
+                lambda: any(c.is_acquired and c.incarnation not in self.lives_before for c in self._changes()), 90.0
+            )
+
 
 @pytest.mark.parametrize(
     "head, node, troubles, text",
