--- a/tests/e2e/test_gossip.py
+++ b/tests/e2e/test_gossip.py
@@ -20,6 +20,7 @@
 from fawnspool.net.connection_pool import ConnectionPool, PoolOptions, call
 from fawnspool.records.frames import rows_of
 from fawnspool.rules.history import read_history
+from tests.e2e.rig import wait_for
 from tests.e2e.run_imports import modules_of_run
 
 FILE = Path(__file__).parent / "shared.hcl"
@@ -76,6 +77,11 @@
         )
         self.metrics = body.decode()
 
+    def _await_clients(self) -> None:
+        """How fast commands answer is the machine's matter; gateways serve until the last one has."""
+        super()._await_clients()
+        wait_for(lambda: self.metrics, 60.0)
+
 
 def test_what_a_person_is_shown(tmp_path: Path) -> None:
     day = load(FILE, Day, check_day)
