Go on polling operators' requests behind one that names no token

Operators: a gateway that held a role heeded no drain, pause or release any more once a request to release named no number. Cause: int() raised ValueError in the greenlet of the polls, which ended with it. Change: such a request releases nothing; what else a poll meets is logged as operator_requests_failed, and the polls go on.

--- a/fawnspool/gateway/role_context.py
+++ b/fawnspool/gateway/role_context.py
@@ -79,13 +79,19 @@
                 self._requests = None
                 gevent.sleep(interval_s / 8)
                 continue
-            self._requests = self._fetch_requests(lease_s / 4)
-            for lease in list(runner.leases.values()):
-                lease.record_reachability(MAP_SERVICE, self._requests is not None)
-                if self._is_to_be_released(lease):
-                    runner.release(lease.name)
+            try:
+                self._poll_once(runner)
+            except Exception:  # the polls must outlive whatever one of them meets
+                self.log.error("operator_requests_failed", exc_info=True)
             gevent.sleep(interval_s if self._requests is not None else interval_s / 8)
 
+    def _poll_once(self, runner: LeaseRunner) -> None:
+        self._requests = self._fetch_requests(runner.settings.lease_s / 4)
+        for lease in list(runner.leases.values()):
+            lease.record_reachability(MAP_SERVICE, self._requests is not None)
+            if self._is_to_be_released(lease):
+                runner.release(lease.name)
+
     def _fetch_requests(self, timeout_s: float) -> OperatorRequests | None:
         try:
             return self.map_client.with_deadline(time.monotonic() + timeout_s).operator_requests()
@@ -96,7 +102,7 @@
         if self._requests is None:
             return False
         last_token = self._requests.requests.get(RELEASE + lease.name)
-        return last_token is not None and lease.token <= int(last_token)
+        return last_token is not None and last_token.isdecimal() and lease.token <= int(last_token)
 
     def operator_requests(self, lease: HeldLease) -> dict[str, str] | None:
         """Return operators' requests by name; None while the map service does not answer."""
--- a/tests/test_peer_message_faults.py
+++ b/tests/test_peer_message_faults.py
@@ -17,9 +17,11 @@
 from fawnspool.gateway.acceptor_log import AcceptorLog
 from fawnspool.gateway.acceptor_runner import AcceptorRunner
 from fawnspool.gateway.gossip_runner import GossipRunner, SchedulerView
-from fawnspool.gateway.lease_runner import LeaseRunner, lease_settings
+from fawnspool.gateway.lease_runner import RELEASED_BY_OPERATOR, LeaseRunner, lease_settings
+from fawnspool.gateway.map_client import OperatorRequests
 from fawnspool.gateway.peer_channel import FleetPlace
 from fawnspool.gateway.peers import PeerSocket
+from fawnspool.gateway.role_context import GatewayView, RoleContext
 from fawnspool.leases.acceptor import Acceptor
 from fawnspool.leases.actions import AcceptorMemory, LeaseAction, LeaseMember, PersistVotes, SendLeaseMessage
 from fawnspool.leases.lease_holder import LeaseHolder
@@ -228,6 +230,35 @@
     assert AcceptorLog(tmp_path, SETTINGS, sync=False).memory.votes  # type: ignore[union-attr]
 
 
+class Requests:
+    """A map service that says what operators ask for."""
+
+    timeout_s = 1.0
+
+    def __init__(self, requests: dict[str, str]) -> None:
+        self.requests = requests
+        self.calls = 0
+
+    def with_deadline(self, deadline: float) -> Requests:
+        """Return itself."""
+        return self
+
+    def operator_requests(self) -> OperatorRequests:
+        """Return what is asked for, and count the calls."""
+        self.calls += 1
+        return OperatorRequests(self.requests, [])
+
+
+def test_a_request_to_release_that_names_no_token_does_not_end_the_polls(runner: LeaseRunner) -> None:
+    """Guards against a gateway that heeds no operator any more: neither drains, nor pauses, nor releases."""
+    service = Requests({"release/drain/0": "soon", "release/drain/1": "999"})
+    context = RoleContext(None, service, GatewayView(dict, lambda: 0), logs.get())  # type: ignore[arg-type]
+    work = IdleWork()
+    work.poll_operator_requests = context.poll_operator_requests  # type: ignore[method-assign]
+    runner.start(work)
+    wait_for(lambda: runner.lost_counts[RELEASED_BY_OPERATOR] > 1 and service.calls > 2)
+
+
 def test_a_gossip_round_that_raises_once_is_not_the_last(peers: PeerSocket) -> None:
     """Guards against a gateway that tells its peers nothing any more after one fault, in silence."""
     view = SchedulerView({}, lambda: 1, list, lambda event: None)
