End a lost role's work before telling of its release

Seen: beside load 30 two heads held three roles at once for 0.062 s (test_a_drain_outlives_holders_that_are_killed_and_stopped). Cause: LeaseRunner sent the releases that a decision asked for, and ended the roles' work at the end of the step. Change: events are handled, so that work ends, before any message of the same decision is sent.

--- a/fawnspool/gateway/lease_runner.py
+++ b/fawnspool/gateway/lease_runner.py
@@ -159,8 +159,9 @@
                 self._channel.send(action.recipient, action.message)
 
     def _carry_out(self, actions: Sequence[LeaseAction]) -> None:
-        self._send(actions)
+        """End the work of lost roles, then send: whoever hears of a release may take the role at once."""
         self._handle_events()
+        self._send(actions)
 
     # ------------------------------------------------------------ time
 
@@ -191,13 +192,12 @@
         """
         now = self.clock()
         if woken_at is not None:
-            self._send(self.holder.record_lag(now, now - woken_at))
+            self._carry_out(self.holder.record_lag(now, now - woken_at))
         while self._inbox:
             self._receive(now, *self._inbox.popleft())
-        self._send(self.holder.tick(now))
+        self._carry_out(self.holder.tick(now))
         if self.acceptor is not None:
             self.acceptor.tick(now)
-        self._handle_events()
         for lease in self.leases.values():
             self.record.add_renewal(lease, self.holder.expires_at(lease.role))
         self._log_pause(now)
@@ -214,7 +214,7 @@
         """Handle one message; where that raises, it counts as lost."""
         try:
             if message.type in FOR_HOLDER:
-                self._send(self.holder.receive(now, sender, message))
+                self._carry_out(self.holder.receive(now, sender, message))
             elif self.acceptor is not None:
                 self.acceptor.receive(now, sender, message)
         except Exception:
