--- a/fawnspool/drill/play.py
+++ b/fawnspool/drill/play.py
@@ -7,7 +7,7 @@
 import time
 from collections import Counter
 from collections.abc import Callable
-from dataclasses import dataclass, field, replace
+from dataclasses import asdict, dataclass, field, replace
 from functools import partial
 from pathlib import Path
 from random import Random
@@ -31,10 +31,11 @@
 from fawnspool.days.rule_terms import rule_terms
 from fawnspool.days.service_value import EndedOperation, ServiceValue, value_service
 from fawnspool.days.traffic import held_objects
+from fawnspool.drill.extent_audit import ExtentAudit, audit_extents
 from fawnspool.drill.fleet import DrillError, Process, free_ports, post
 from fawnspool.drill.links import Links, Weather
+from fawnspool.drill.node_arguments import NodeStart, node_arguments
 from fawnspool.extents.records import LOG_START, ExtentKey, ExtentRecord, MapDelta
-from fawnspool.extents.replicas import ReplicaRole
 from fawnspool.gateway.map_client import MapClient
 from fawnspool.gateway.migrator import Migrator
 from fawnspool.gossip import messages
@@ -260,54 +261,9 @@
         return f"{host}:{self.links.to_server(head, (host, int(port)))}"
 
     def _node(self, cell: int, number: int, port: int, zone: str, cold: bool) -> Process:
-        f, n = self.day.fleet, self.day.nodes
-        arguments = [
-            *self.node_command,
-            "standin",
-            "node",
-            "--ident",
-            str(number),
-            "--listen",
-            f"127.0.0.1:{port}",
-            "--data",
-            str(self.folder / f"cell-{cell}"),
-            "--cores",
-            str(f.cores),
-            "--unit-time",
-            str(f.unit_time * (2 if cell in self.slow else 1)),
-            "--room",
-            str(f.room),
-            "--cold" if cold else "--warm",
-            "--cold-from",
-            str(f.cold_from),
-            "--warm-after",
-            str(f.warm_after),
-            "--fall",
-            str(n.cold_fall),
-            "--fall-multiple",
-            str(n.cold_multiple),
-            "--seek-saved",
-            str(f.seek_saved),
-            "--deferred",
-            str(f.deferred),
-            "--zone",
-            zone,
-            "--load",
-            ",".join(n.load_fields),
-            "--record",
-            str(self.folder / f"node-{number}.rec"),
-            "--groups",
-            str(self.folder / "repeats"),
-            "--seed",
-            str(self.seed),
-        ]
-        if self.meter is not None:
-            arguments += [
-                "--meter",
-                f"127.0.0.1:{self.meter.address[1]}",
-                "--meter-every",
-                str(self.day.service.meter / 4),
-            ]
+        meter_port = None if self.meter is None else self.meter.address[1]
+        start = NodeStart(cell, number, port, zone, 2.0 if cell in self.slow else 1.0, cold, meter_port)
+        arguments = [*self.node_command, *node_arguments(self.day, self.folder, self.seed, start)]
         return Process(f"node-{number}", arguments, port, self.folder / f"node-{number}.log", self.node_module)
 
     def _entry(self, cell: _Cell, phase: str, started: float) -> NodeListEntry:
@@ -374,7 +330,7 @@
                 process.end()
         self.links.stop()
         if self.drained:
-            self.note("drained", **self._where_extents_lie())
+            self.note("drained", **asdict(self._audit_extents()))
         for service in ("list", "catalogue", "meter"):
             if getattr(self, service, None) is not None:
                 getattr(self, service).stop()
@@ -776,30 +732,18 @@
             f for k in range(c.partition_count) for d in c.deltas_since(k, LOG_START) for f in d.records if f.shard >= 0
         ]
 
-    def _where_extents_lie(self) -> dict[str, Any]:
-        """By the map, and by the nodes' disks: nodes have ended. What clients wrote into a drained cell in the last
-        moments is not counted as left."""
+    def _audit_extents(self) -> ExtentAudit:
+        """Nodes have ended."""
         replicas = {
             c.cell: ObjectReplicas(
                 self.folder / f"cell-{c.cell}", ObjectStore(self.folder / f"cell-{c.cell}" / "objects")
             )
             for c in self.cells
         }
-        left = missing = twice = 0
-        named = ""
-        for f in self._facts():
-            left += f.shard in self.drained and (f.volume, f.extent) in self.to_leave
-            serve = [k for k, r in replicas.items() if r.get(f.volume, f.extent).role is ReplicaRole.OWNER]
-            under_way = replicas[f.shard].get(f.volume, f.extent)  # the day's end came in the middle of its move
-            missing += not serve and not (
-                under_way.role is ReplicaRole.FENCED and under_way.has_data and f.shard in self.drained
-            )
-            twice += len(serve) > 1
-            if len(serve) != 1 and not named:
-                named = f"{f.volume}/{f.extent} by the map in cell {f.shard}, served by {serve}"
+        audit = audit_extents(self._facts(), replicas, self.drained, self.to_leave)
         for held in replicas.values():
             held.close()
-        return {"left": left, "missing": missing, "twice": twice, "named": named}
+        return audit
 
     # ------------------------------------------------------------ the end
 
