--- a/tests/e2e/test_leases.py
+++ b/tests/e2e/test_leases.py
@@ -23,7 +23,7 @@
 from fawnspool.records.frames import FrameReader, rows_of
 from fawnspool.rules.history import read_history
 from fawnspool.rules.observations import LeaseChange
-from tests.e2e.doctored import DISK_FULL, PERSISTED_VOTES, UNWRITTEN_VOTES
+from tests.e2e.doctored import DISK_FULL, FIRST_LIFE_TOKENS, PERSISTED_VOTES, UNWRITTEN_VOTES
 from tests.e2e.rig import wait_for
 from tests.e2e.run_imports import modules_of_run
 
@@ -244,27 +244,29 @@
 
 
 class _OnceHeld(_Watched):
-    """Kills the voters once every shard of the drain has a holder that has shown its token: before that there is
-    nothing to forget. The day goes on until one of the voters' new lives holds a role: before that nothing shows."""
+    """Kills the voters once every shard of the drain has a holder that has shown its token, a voter one of them: before
+    that there is nothing to forget. The day goes on until a shard is held under a token that was promised before: until
+    then nothing shows that the voters forgot."""
 
-    lives_before: frozenset[int] = frozenset()
+    def _drain_holders(self) -> list[int]:
+        rows = self.catalogue.database.roles.holders()
+        return [row.gateway_id for row in rows if row.role.startswith("drain")]
 
     def _do_duty_voters(self, x: TroubleBlock, cells: Any, heads: Any, lost: bool = False) -> None:
-        duties = load(FILE, Day, check_day).duties
-        assert duties is not None
-        shards = sum(d.shards for d in duties.duty if d.name == "drain")
+        shards = sum(d.shards for d in duties().duty if d.name == "drain")
         wait_for(
-            lambda: sum(r.role.startswith("drain") for r in self.catalogue.database.roles.holders()) >= shards, 60.0
+            lambda: len(self._drain_holders()) >= shards and set(self._drain_holders()) & set(duties().voters), 60.0
         )
-        self.lives_before = frozenset(change.incarnation for change in self._changes())
         super()._do_duty_voters(x, cells, heads, lost)
 
+    def _has_promised_token(self) -> bool:
+        acquired = [change for change in self._changes() if change.is_acquired and change.lease.startswith("drain")]
+        return any(change.token <= FIRST_LIFE_TOKENS for change in acquired)
+
     def _await_clients(self) -> None:
         super()._await_clients()
-        if self.lives_before:
-            wait_for(
-                lambda: any(c.is_acquired and c.incarnation not in self.lives_before for c in self._changes()), 90.0
-            )
+        if any(trouble.kind == "duty_voters" for trouble in self.day.trouble):
+            wait_for(self._has_promised_token, 90.0)
 
 
 @pytest.mark.parametrize(
