--- a/tests/e2e/test_leases.py
+++ b/tests/e2e/test_leases.py
@@ -247,20 +247,24 @@
 
 
 class _OnceHeld(_Watched):
-    """Kills the voters once every shard of the drain has a holder that has shown its token, a voter one of them: before
-    that there is nothing to forget. The day goes on until a shard is held under a token that was promised before: until
-    then nothing shows that the voters forgot."""
-
-    def _drain_holders(self) -> list[int]:
-        rows = self.catalogue.database.roles.holders()
-        return [row.gateway_id for row in rows if row.role.startswith("drain")]
+    """Kills the voters, and with them all others, who would remember the tokens for them, once every shard of the drain
+    has a holder that has shown its token: before that there is nothing to forget. The day goes on until a shard is held
+    under a token that was promised before: until then nothing shows that the voters forgot."""
 
     def _do_duty_voters(self, x: TroubleBlock, cells: Any, heads: Any, lost: bool = False) -> None:
         shards = sum(d.shards for d in duties().duty if d.name == "drain")
-        wait_for(
-            lambda: len(self._drain_holders()) >= shards and set(self._drain_holders()) & set(duties().voters), 60.0
-        )
+        holders = self.catalogue.database.roles.holders
+        wait_for(lambda: sum(row.role.startswith("drain") for row in holders()) >= shards, 60.0)
+        others = sorted(set(range(len(self.heads))) - set(duties().voters))
+        for head in others:
+            self._hit(head, "killed", time.monotonic() + x.down)
+            self.note("head", head=head, what="killed")
+            self.heads[head].kill()
         super()._do_duty_voters(x, cells, heads, lost)
+        for head in others:
+            self.heads[head].start()
+            self.heads[head].wait_up()
+            self.note("head", head=head, what="up")
 
     def _has_promised_token(self) -> bool:
         acquired = [change for change in self._changes() if change.is_acquired and change.lease.startswith("drain")]
