--- a/fawnspool/scheduling/outliers.py
+++ b/fawnspool/scheduling/outliers.py
@@ -39,7 +39,8 @@
     failures : int
         In a row, with no answer between.
     last_answer_at : float
-        When it last answered, or was sent something after an idle time.
+        From when its silence counts: its last answer, a send after an idle time, or the last failure that was counted,
+        so that one silence is not counted again at each check.
     next_trial_at : float
         While it is ejected: when one request may try it.
     refused_connection : bool
