--- a/tests/test_lease_release_order.py
+++ b/tests/test_lease_release_order.py
@@ -4,7 +4,6 @@
 
 from collections.abc import Callable, Iterator, Sequence
 from pathlib import Path
-from typing import Any
 
 import pytest
 
@@ -17,26 +16,13 @@
 from fawnspool.leases.messages import LeaseMessageType
 from fawnspool.telemetry import logs
 from tests.e2e.rig import wait_for
+from tests.test_peer_message_faults import IdleWork
 
 logs.set_up("none")
 ROLES = ("drain/0", "drain/1")
 CONFIG = DutiesBlock(voters=(0,), lease=0.5, duty=(DutyBlock(name="drain", shards=len(ROLES)),))
 
 
-class IdleWork:
-    """Holds roles and does nothing."""
-
-    def __init__(self) -> None:
-        self.by_kind = {"drain": self._idle}
-
-    def _idle(self, lease: Any) -> None:
-        while True:
-            lease.sleep(0.01)
-
-    def poll_operator_requests(self, runner: LeaseRunner) -> None:
-        """Ask for nothing."""
-
-
 @pytest.fixture
 def holder(tmp_path: Path) -> Iterator[LeaseRunner]:
     """A gateway that holds both roles by its own vote."""
