--- a/tests/test_lease_release_order.py
+++ b/tests/test_lease_release_order.py
@@ -80,3 +80,25 @@
     holder._send = look_and_send  # type: ignore[method-assign]
     ENDINGS[ending](holder)
     assert released and not working
+
+
+class KeptEvents:
+    """A logger that keeps what it is told."""
+
+    def __init__(self) -> None:
+        self.events: list[tuple[str, dict[str, object]]] = []
+
+    def _note(self, event: str, **fields: object) -> None:
+        self.events.append((event, fields))
+
+    debug = info = warning = error = _note
+
+
+def test_a_gateway_says_once_why_it_takes_no_roles_for_a_while(holder: LeaseRunner) -> None:
+    """Guards against elections that take long without a word of which gateways stand aside."""
+    log = holder.log = KeptEvents()
+    lag(holder)
+    holder._step(None)
+    pauses = [fields for event, fields in log.events if event == "candidacy_paused"]
+    assert len(pauses) == 1 and pauses[0]["reason"] == "its event loop runs late"
+    assert pauses[0]["pause_s"] == pytest.approx(CONFIG.lease, abs=0.05)
