--- a/review/3/check.py
+++ b/review/3/check.py
@@ -23,7 +23,7 @@
 
 
 class BadClient:
-    """One client, one connection at a time: its head does not end; turned away, it connects again and sends the same."""
+    """One client, one connection at a time: turned away with its head that does not end, it sends the same again."""
 
     def __init__(self, gateway: rig.Gateway, record: rig.Record) -> None:
         self.connections = 0
