Review case 1: use a limit of 64 MB, so that it shows one fault alone

Cause: with 128 MB the case also needed the fault of case 2, as the gateway passed the limit only because it did not look at the attempt's deadline any more.

--- a/review/1/check.py
+++ b/review/1/check.py
@@ -13,7 +13,7 @@
 import rig  # noqa: E402 - found through the line above
 
 SHELVES = 3
-LIMITS = {"cores": 1.0, "memory_mb": 128, "sockets": 1024}  # the pages give a head 32 to 192 MB
+LIMITS = {"cores": 1.0, "memory_mb": 64, "sockets": 256}  # the pages give a head 32 to 192 MB and 256 to 1,024
 CALM_S = 3.0  # calm traffic before the spoilt answer
 SPOILT_S = 30.0  # at most so long does the shelf go on with it
 AFTERWARDS_S = 3.0
