--- a/review/rig.py
+++ b/review/rig.py
@@ -461,6 +461,7 @@
         """
         timeout_s = int(headers["Request-Timeout-Ms"]) / 1000
         was_kept = self._sock is not None
+        self._record.note(f"client sends {ident} {method} {target}, with {timeout_s:.3f} s")
         sent_at = time.monotonic()
         answer = self._ask_once(request(method, target, headers, body), sent_at + timeout_s + CLIENT_STAYS_S)
         if answer is None and was_kept and time.monotonic() < sent_at + timeout_s:
