Reject a message head that does not end, whatever the size of its pieces

Cause: on_header counts a field when it is complete, so a field that never is had no limit; httptools joins and copies its pieces. RequestParser compared the size of one read with the limit, ResponseParser had no check. Change: both parsers count the bytes fed since the last complete part of a message and reject what no head within the limits can need; larger reads are parsed in slices. All bytes enter through feed, so no caller can pass the bound by. The check of one read is gone, as the count covers it (at 8,416 bytes where it was 8,192 for clients, now in pieces as well). Evidence: test_head_without_end_is_rejected_soon_after_its_limit fails in 29 of 40 cases on the code before ("assert 131104 <= (2 * 2048)"); heads up to the limits in pieces of 1, 7, 2048, 65536 bytes pass on both.

--- a/fawnspool/net/http.py
+++ b/fawnspool/net/http.py
@@ -50,15 +50,29 @@
 _FIRST_FINAL_STATUS = 200  # a response with a lower status is informational; another head follows it
 _OPTIONAL_WHITESPACE = b" \t"  # may surround a field's value and is not part of it (RFC 9110, 5.5)
 _SINGLE_HEADERS = frozenset((b"host", b"content-length", b"transfer-encoding", b"range", b"expect"))
+_FIELD_OVERHEAD_BYTES = 4  # colon, space and line end of a header field
+_START_LINE_OVERHEAD_BYTES = 64  # what a start line has beside its target or reason phrase, and the empty line
 
 
 @dataclass(slots=True)
 class MessageLimits:
-    """Limits on the size of a message before its body."""
+    """Limits on the size of a message before its body.
+
+    Attributes
+    ----------
+    head_bytes
+        Total length of the target or reason phrase and of all names and values of header fields.
+    headers
+        Number of header fields.
+    """
 
     head_bytes: int = 16384
     headers: int = 64
 
+    def unfinished_bytes(self) -> int:
+        """Return how many bytes may arrive without completing a part of a message: any head within the limits fits."""
+        return self.head_bytes + self.headers * _FIELD_OVERHEAD_BYTES + _START_LINE_OVERHEAD_BYTES
+
 
 @dataclass(slots=True)
 class RequestHead:
@@ -111,22 +125,42 @@
     _headers: dict[bytes, bytes] = field(default_factory=dict)
     _head_bytes: int = 0
     _header_count: int = 0
+    _unfinished_bytes: int = 0  # fed since the last complete part (head, piece of a body, message)
     _error: HttpError | None = None  # an error raised in a callback, for which httptools raises its own error
 
     def feed(self, data: bytes) -> None:
         """Parse bytes and append the resulting events to `events`.
 
+        The bytes are parsed in slices, so that a part without an end is rejected before more of it is kept.
+
         Raises
         ------
         HttpError
             The message is rejected.
         """
+        slice_bytes = self.limits.head_bytes
+        if len(data) <= slice_bytes:
+            self._feed_slice(data)
+            return
+        view = memoryview(data)
+        for start in range(0, len(view), slice_bytes):
+            self._feed_slice(view[start : start + slice_bytes])
+
+    def _feed_slice(self, data: bytes | memoryview) -> None:
+        self._unfinished_bytes += len(data)  # the callbacks reset it when a part is complete
         try:
             self._grammar.feed_data(data)
         except httptools.HttpParserUpgrade:
             raise self._upgrade_error() from None
         except httptools.HttpParserError as error:
             raise self._grammar_error(error) from None
+        if self._unfinished_bytes > self.limits.unfinished_bytes():
+            raise self._unfinished_error()
+
+    def _unfinished_error(self) -> HttpError:
+        part = "message head" if self.in_head else "part of a message"
+        status = 431 if self.in_head else self._error_status
+        return HttpError(status, f"{part} is longer than {self.limits.unfinished_bytes()} bytes")
 
     def _upgrade_error(self) -> HttpError:
         raise NotImplementedError
@@ -172,10 +206,12 @@
 
     def on_body(self, piece: bytes) -> None:
         """Append a piece of the body to the events."""
+        self._unfinished_bytes = 0
         self.events.append(piece)
 
     def on_message_complete(self) -> None:
         """Append the end of the message to the events."""
+        self._unfinished_bytes = 0
         self.events.append(END_OF_MESSAGE)
 
 
@@ -188,12 +224,6 @@
         super().__init__(limits)
         self._grammar = httptools.HttpRequestParser(self)
 
-    def feed(self, data: bytes) -> None:
-        """Parse bytes and append the resulting events to `events`. Raises HttpError."""
-        super().feed(data)
-        if self.in_head and not self.events and len(data) > self.limits.head_bytes:
-            raise HttpError(431, f"request head is longer than {self.limits.head_bytes} bytes")
-
     def on_url(self, piece: bytes) -> None:
         """Append a piece of the request target."""
         self._target += piece
@@ -202,6 +232,7 @@
     def on_headers_complete(self) -> None:
         """Check the complete head of the request and append it to the events."""
         self.in_head = False
+        self._unfinished_bytes = 0
         headers = self._headers
         version = self._grammar.get_http_version()
         if version not in ("1.1", "1.0"):
@@ -257,6 +288,7 @@
     def on_headers_complete(self) -> None:
         """Append the complete head of a final response to the events."""
         self.in_head = False
+        self._unfinished_bytes = 0
         code = self._grammar.get_status_code()
         if 100 <= code < _FIRST_FINAL_STATUS:
             return
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
@@ -75,3 +77,62 @@
     head = parser.events[0]
     assert isinstance(head, ResponseHead) and head.headers[b"not-started"] == b"1" and head.length == 0
     assert head.headers[b"server-load"] == b"rif=1,lat_ms=2" and parser.complete
+
+
+LIMITS = MessageLimits(head_bytes=2048, headers=8)
+PARSERS: dict[str, Callable[[], RequestParser | ResponseParser]] = {
+    "request": lambda: RequestParser(LIMITS),
+    "response": lambda: ResponseParser(LIMITS),
+}
+# The beginning of a message, and what then comes again and again.
+ENDLESS_HEADS = {
+    "value": ("request", b"GET / HTTP/1.1\r\nHost: t\r\nX: ", b"x"),
+    "name": ("request", b"GET / HTTP/1.1\r\nHost: t\r\n", b"x"),
+    "white space": ("request", b"GET / HTTP/1.1\r\nHost: t\r\nX:", b" "),
+    "target": ("request", b"GET /", b"x"),
+    "empty lines before the request": ("request", b"", b"\r\n"),
+    "value of a response": ("response", b"HTTP/1.1 200 OK\r\nServer-Load: ", b"x"),
+    "name of a response": ("response", b"HTTP/1.1 200 OK\r\n", b"x"),
+    "white space of a response": ("response", b"HTTP/1.1 200 OK\r\nX:", b" "),
+    "reason phrase": ("response", b"HTTP/1.1 200 ", b"x"),
+    "head of an interim response": ("response", b"HTTP/1.1 103 Early Hints\r\nLink: ", b"x"),
+}
+
+
+def bytes_until_rejected(parser: RequestParser | ResponseParser, start: bytes, repeated: bytes, piece: int) -> int:
+    """Return how many bytes the parser accepts, up to fifty times its limit."""
+    fed_bytes = len(start)
+    if start:
+        parser.feed(start)
+    data = repeated * (piece // len(repeated) or 1)
+    while fed_bytes < 50 * LIMITS.head_bytes:
+        try:
+            parser.feed(data)
+        except HttpError as error:
+            assert 400 <= error.status < 600
+            return fed_bytes
+        fed_bytes += len(data)
+    return fed_bytes
+
+
+@pytest.mark.parametrize("piece", [1, 1000, 2048, 65536])
+@pytest.mark.parametrize("case", ENDLESS_HEADS)
+def test_head_without_end_is_rejected_soon_after_its_limit(case: str, piece: int) -> None:
+    """Guards against a peer that decides how much memory its head takes: an incomplete field was not counted."""
+    name, start, repeated = ENDLESS_HEADS[case]
+    assert bytes_until_rejected(PARSERS[name](), start, repeated, piece) <= 2 * LIMITS.head_bytes
+
+
+@pytest.mark.parametrize("piece", [1, 7, 2048, 65536])
+@pytest.mark.parametrize(("name", "start"), [("request", b"GET / HTTP/1.1\r\n"), ("response", b"HTTP/1.1 200 OK\r\n")])
+def test_head_up_to_its_limits_is_accepted_in_pieces_of_any_size(name: str, start: bytes, piece: int) -> None:
+    fields = [b"Host: t", *(b"f%d: %s" % (number, b"v" * 288) for number in range(6)), b"content-length: 0"]
+    used_bytes = sum(len(field) - 2 for field in fields) + 2  # with the target or the reason phrase
+    fields[1] += b"v" * (LIMITS.head_bytes - used_bytes)
+    message = start + b"\r\n".join(fields) + b"\r\n\r\n"
+    parser = PARSERS[name]()
+    for position in range(0, len(message), piece):
+        parser.feed(message[position : position + piece])
+    head, end = parser.events
+    assert isinstance(head, RequestHead | ResponseHead) and len(head.headers) == LIMITS.headers
+    assert end is END_OF_MESSAGE
