Bound how long a peer that sends without a pause is read before others run

Cause: SocketStream.recv let others run only if no bytes had arrived; a deadline that passed while bytes were unread did not count, as they may be from before it (a stopped process), however often that was so. Change: in SocketStream, which all reads of HTTP pass: after 64 KiB (a read counts as 4 KiB at least) the next read returns to the event loop first, and after a deadline at most 16 turns are read. Heads and chunked bodies are read 32 KiB at a time, not 256.

--- a/fawnspool/net/client_connection.py
+++ b/fawnspool/net/client_connection.py
@@ -15,6 +15,7 @@
 from fawnspool.net.socket_stream import SocketStream
 
 _READ_BYTES = 262_144
+_FRAMED_READ_BYTES = 32_768  # where bytes are parsed one by one: heads, and bodies without a Content-Length
 _LIMITS = MessageLimits(head_bytes=32768, headers=64)
 
 
@@ -39,7 +40,16 @@
         Bytes arrived after a response, so the connection carries no further request.
     """
 
-    __slots__ = ("_parser", "ends_at_close", "has_trailing_data", "is_new", "last_used", "lenient", "stream")
+    __slots__ = (
+        "_parser",
+        "_read_bytes",
+        "ends_at_close",
+        "has_trailing_data",
+        "is_new",
+        "last_used",
+        "lenient",
+        "stream",
+    )
 
     def __init__(self, stream: SocketStream, lenient: bool = False) -> None:
         self.stream = stream
@@ -49,6 +59,7 @@
         self.has_trailing_data = False
         self.ends_at_close = False
         self._parser = ResponseParser(_LIMITS)
+        self._read_bytes = _FRAMED_READ_BYTES
 
     def send(self, data: bytes, deadline: float) -> None:
         """Pass all of `data` to the kernel.
@@ -71,9 +82,12 @@
         """Read and return the response's head. Raises TimeoutError, ConnectionLostError, HttpError."""
         self._parser.expect_response()
         self.ends_at_close = False
+        self._read_bytes = _FRAMED_READ_BYTES
         head = self._next_event(deadline)
         if not isinstance(head, ResponseHead):
             raise HttpError(502, "expected a status line")
+        if head.length is not None:
+            self._read_bytes = _READ_BYTES
         self.ends_at_close = self.lenient and head.length is None and b"transfer-encoding" not in head.headers
         return head
 
@@ -103,7 +117,7 @@
         wait_first = not self._parser.in_head
         while not events:
             try:
-                data = self.stream.recv(_READ_BYTES, deadline, wait_first)
+                data = self.stream.recv(self._read_bytes, deadline, wait_first)
             except TimeoutError:
                 raise
             except OSError as error:
--- a/fawnspool/net/exchange.py
+++ b/fawnspool/net/exchange.py
@@ -21,6 +21,7 @@
 
 JSON_HEADER = (b"Content-Type", b"application/json")
 _BODY_READ_BYTES = 262_144
+_CHUNKED_READ_BYTES = 32_768  # the framing of chunks is parsed byte by byte
 
 
 class ExchangeConnection(Protocol):
@@ -104,8 +105,9 @@
         if self.head.expects_continue and not self.answered and not self.body_bytes:
             self.head.expects_continue = False
             connection.send(CONTINUE)
+        read_bytes = _CHUNKED_READ_BYTES if self.head.length is None else _BODY_READ_BYTES
         while not self.request_read:
-            event = connection.next_event(_BODY_READ_BYTES)
+            event = connection.next_event(read_bytes)
             if event is END_OF_MESSAGE:
                 self.request_read = True
                 connection.note_event(ConnectionEvent.REQUEST_COMPLETE)
--- a/fawnspool/net/socket_stream.py
+++ b/fawnspool/net/socket_stream.py
@@ -11,7 +11,7 @@
 import time
 
 from fawnspool.net.arrival_clock import ArrivalClock
-from fawnspool.net.exceptions import StreamClosedError
+from fawnspool.net.exceptions import DeadlineExceededError, StreamClosedError
 from fawnspool.net.listener import SO_TIMESTAMPNS
 from fawnspool.net.readiness import READABLE, WRITABLE, ReadinessWaiter
 
@@ -23,6 +23,9 @@
 _TCP_CLOSE = 7  # tcp(7), first byte of TCP_INFO: the connection was reset
 _TCP_CLOSE_WAIT = 8  # the peer has closed its side
 _NANOSECONDS = 1e9
+_TURN_BYTES = 65_536  # read so much without a wait, and other greenlets get their turn
+_LEAST_READ_COST_BYTES = 4096  # a read counts as at least so much, as small pieces cost as much time
+_MAX_LATE_TURNS = 16  # past a deadline, enough for bytes that arrived before it while the process was stopped
 
 _arrival_clock = ArrivalClock(time.time(), time.monotonic())
 
@@ -39,9 +42,12 @@
 
     The system reports only once that a connection broke, to the next call on the socket; later reads return no bytes,
     as at a clean end. So the stream remembers the error, whichever call got it, and never reports a clean end after it.
+
+    A peer that sends without a pause neither keeps other greenlets from running nor outlasts a deadline: after
+    `_TURN_BYTES`, a read first returns to the event loop, and only `_MAX_LATE_TURNS` reads may follow a deadline.
     """
 
-    __slots__ = ("_broken_by", "_reader", "_sock", "_writer", "closed")
+    __slots__ = ("_broken_by", "_late_turns", "_reader", "_sock", "_turn_bytes", "_writer", "closed")
 
     def __init__(self, sock: socket.socket) -> None:
         sock.setblocking(False)
@@ -50,11 +56,13 @@
         self._broken_by: ConnectionError | None = None
         self._reader: ReadinessWaiter | None = None
         self._writer: ReadinessWaiter | None = None
+        self._turn_bytes = 0  # read since the last wait
+        self._late_turns = 0  # waits that ended after their deadline, since one that did not
 
     # ------------------------------------------------------------ reading
 
     def recv(self, size: int, deadline: float, wait_first: bool = False) -> bytes:
-        """Read some bytes, waiting for them if none have arrived.
+        """Read some bytes, waiting for them if none have arrived or if the turn is over.
 
         Parameters
         ----------
@@ -70,7 +78,7 @@
         bytes
             b"" at the end of the stream.
         """
-        if wait_first:
+        if wait_first or self._turn_bytes >= _TURN_BYTES:
             self._wait_readable(deadline)
         while True:
             try:
@@ -113,20 +121,35 @@
             raise self._recorded(error) from None
         if not data:
             self._check_clean_end()
+        self._turn_bytes += max(len(data), _LEAST_READ_COST_BYTES)
         return data
 
     def _wait_readable(self, deadline: float) -> None:
+        """Return to the event loop until the socket is readable; this begins a new turn."""
         if self._reader is None:
             self._reader = ReadinessWaiter(self._sock.fileno(), READABLE)
+        self._turn_bytes = 0
         try:
             self._reader.wait(deadline)
         except TimeoutError:
-            # When a stopped process continues, the event loop may find both an expired deadline and bytes that arrived
-            # before it. It runs the timer first, but these bytes are not late, so they are read.
-            if self.closed or not self.at_end():
+            if not self._may_read_late():
                 raise
-        if self.closed:
-            raise StreamClosedError
+        else:
+            if self.closed:
+                raise StreamClosedError
+            if time.monotonic() <= deadline:
+                self._late_turns = 0
+            elif not self._may_read_late():
+                raise DeadlineExceededError
+
+    def _may_read_late(self) -> bool:
+        """Return whether bytes are read although the deadline has passed.
+
+        When a stopped process continues, the event loop may find both an expired deadline and bytes that arrived
+        before it. These bytes are not late. As later ones can't be told from them, the number of such reads is limited.
+        """
+        self._late_turns += 1
+        return self._late_turns <= _MAX_LATE_TURNS and not self.closed and self.at_end()
 
     def expire_wait(self) -> None:
         """End the wait to read as if its deadline had passed; bytes that have arrived are still read.
--- a/tests/test_socket_stream.py
+++ b/tests/test_socket_stream.py
@@ -5,6 +5,7 @@
 import errno
 import socket
 import time
+from collections.abc import Callable
 from typing import Any
 
 import gevent
@@ -121,3 +122,78 @@
         assert raised.value.errno == code
     stream.close()
     peer_sock.close()
+
+
+class EndlessSocket:
+    """A socket on which a peer sends faster than its bytes are read, in pieces of one size."""
+
+    def __init__(self, piece_bytes: int) -> None:
+        self._sock, self._peer = socket.socketpair()
+        self._peer.send(b"x")  # stays unread, so the socket is always readable
+        self._piece = b"x" * piece_bytes
+
+    def recv(self, size: int, flags: int = 0) -> bytes:
+        return self._piece[:size]
+
+    def recvmsg(self, size: int, ancillary_bytes: int = 0) -> tuple[bytes, list[Any], int, None]:
+        return self._piece[:size], [], 0, None
+
+    def __getattr__(self, name: str) -> Any:
+        return getattr(self._sock, name)
+
+
+READS: dict[str, Callable[[SocketStream, int, float], Any]] = {
+    "recv": SocketStream.recv,
+    "recv_stamped": SocketStream.recv_stamped,
+}
+
+
+@pytest.mark.parametrize("piece_bytes", [1, 1000, 262_144])
+def test_reads_without_a_pause_let_other_greenlets_run(piece_bytes: int) -> None:
+    """Guards against a peer that keeps the process from all else for as long as it sends."""
+    stream = SocketStream(EndlessSocket(piece_bytes))  # type: ignore[arg-type]
+    reads_by_turn = [0]
+
+    def take_turns() -> None:
+        while True:
+            reads_by_turn.append(0)
+            gevent.sleep(0)
+
+    other = gevent.spawn(take_turns)
+    for _ in range(400):
+        stream.recv(262_144, time.monotonic() + 5)
+        reads_by_turn[-1] += 1
+    other.kill()
+    most_reads = max(reads_by_turn)
+    assert most_reads <= 16 and most_reads * piece_bytes <= max(2 * 65_536, piece_bytes)
+    stream.close()
+
+
+@pytest.mark.parametrize("read", READS)
+@pytest.mark.parametrize("piece_bytes", [1, 1000, 262_144])
+def test_deadline_ends_reads_although_bytes_keep_arriving(read: str, piece_bytes: int) -> None:
+    """Guards against a peer that sets aside the deadline of a message by never pausing."""
+    stream = SocketStream(EndlessSocket(piece_bytes))  # type: ignore[arg-type]
+    began = time.monotonic()
+    with pytest.raises(TimeoutError):
+        while time.monotonic() < began + 3:
+            READS[read](stream, 262_144, began + 0.05)
+    assert time.monotonic() - began < 1
+    stream.close()
+
+
+def test_long_message_before_the_deadline_is_read_after_the_process_was_stopped_past_it() -> None:
+    listener = socket.create_server(("127.0.0.1", 0))
+    stream = connect(listener.getsockname(), time.monotonic() + 1)
+    peer, _ = listener.accept()
+    peer.setblocking(False)
+    deadline = time.monotonic() + 0.05
+    sent_bytes = peer.send(bytes(1 << 20))
+    time.sleep(0.1)  # blocks the event loop, as a SIGSTOP does
+    received_bytes = 0
+    while received_bytes < sent_bytes:
+        received_bytes += len(stream.recv(262_144, deadline))
+    with pytest.raises(TimeoutError):
+        stream.recv(262_144, deadline)
+    for sock in (peer, listener, stream):
+        sock.close()
