Free what a connection received when it ends, not when the cycle collector runs

Cause: three reference cycles: a parser and its httptools parser; kept errors, whose tracebacks refer to the connection and the bytes it had read; a connection and its last exchange. Only the collector freed them, after 20,000 allocations of containers. Change: closing a connection closes its parser, which drops the grammar; parser and stream keep what an error says, not the error; an ended connection drops its exchange.

--- a/fawnspool/net/client_connection.py
+++ b/fawnspool/net/client_connection.py
@@ -160,6 +160,7 @@
     def close(self) -> None:
         """Close the connection; a greenlet that waits on it gets ConnectionClosedError."""
         self.stream.close()
+        self._parser.close()
 
 
 def _lost(error: OSError, where: str, request_written: bool = True) -> ConnectionLostError:
--- a/fawnspool/net/http.py
+++ b/fawnspool/net/http.py
@@ -126,7 +126,7 @@
     _head_bytes: int = 0
     _header_count: int = 0
     _unfinished_bytes: int = 0  # fed since the last complete part (head, piece of a body, message)
-    _error: HttpError | None = None  # an error raised in a callback, for which httptools raises its own error
+    _rejection: tuple[int, str] | None = None  # status and text of the error that a callback raised
 
     def feed(self, data: bytes) -> None:
         """Parse bytes and append the resulting events to `events`.
@@ -157,6 +157,13 @@
         if self._unfinished_bytes > self.limits.unfinished_bytes():
             raise self._unfinished_error()
 
+    def close(self) -> None:
+        """Release the grammar, and with it the bytes that it holds; the parser must not be fed any more.
+
+        The grammar refers to the parser's callbacks, so otherwise both would wait for the cycle collector.
+        """
+        self._grammar = None
+
     def _unfinished_error(self) -> HttpError:
         part = "message head" if self.in_head else "part of a message"
         status = 431 if self.in_head else self._error_status
@@ -166,12 +173,17 @@
         raise NotImplementedError
 
     def _grammar_error(self, error: Exception) -> HttpError:
-        return self._error or HttpError(self._error_status, f"malformed HTTP message: {error}")
+        if self._rejection is not None:
+            return HttpError(*self._rejection)
+        return HttpError(self._error_status, f"malformed HTTP message: {error}")
 
     def _rejected(self, status: int, text: str) -> HttpError:
-        """Return the error that a callback must raise; also keep it, as httptools replaces it by its own error."""
-        self._error = HttpError(status, text)
-        return self._error
+        """Return the error that a callback must raise, and note it for `feed`, as httptools raises one of its own.
+
+        The error itself is not kept, as its traceback refers to the parser and the bytes that it was fed.
+        """
+        self._rejection = (status, text)
+        return HttpError(status, text)
 
     def _count_head_bytes(self, count: int, status: int) -> None:
         self._head_bytes += count
@@ -277,8 +289,7 @@
     def on_message_begin(self) -> None:
         """Reset the state for a new response, or raise if none is expected."""
         if self.complete:
-            self._error = TrailingDataError()
-            raise self._error
+            raise TrailingDataError
         super().on_message_begin()
 
     def on_status(self, text: bytes) -> None:
--- a/fawnspool/net/server_connection.py
+++ b/fawnspool/net/server_connection.py
@@ -230,6 +230,7 @@
             self.server.note_end(self)
             self.note_event(ConnectionEvent.ENDED)
             self._close()
+            self.exchange = None  # the exchange refers to the connection
 
     def note_event(self, event: ConnectionEvent) -> None:
         """Change to the next state."""
@@ -387,3 +388,4 @@
             pass
         finally:
             self.stream.close()
+            self.parser.close()
--- a/fawnspool/net/socket_stream.py
+++ b/fawnspool/net/socket_stream.py
@@ -53,7 +53,7 @@
         sock.setblocking(False)
         self._sock = sock
         self.closed = False  # whether this side has closed the stream
-        self._broken_by: ConnectionError | None = None
+        self._broken_by: tuple[int | None, str | None] | None = None  # the error's code and text
         self._reader: ReadinessWaiter | None = None
         self._writer: ReadinessWaiter | None = None
         self._turn_bytes = 0  # read since the last wait
@@ -190,20 +190,20 @@
         """Return the error to raise, and remember it if the connection broke.
 
         A broken connection always raises ConnectionResetError: an ETIMEDOUT would be a TimeoutError, and so look like
-        a deadline.
+        a deadline. Each call raises an error of its own, as the traceback of a kept one would refer to the stream.
         """
         if isinstance(error, BlockingIOError) or self.closed:
             return error
         if self._broken_by is None:
-            self._broken_by = ConnectionResetError(error.errno, error.strerror)
-        return self._broken_by
+            self._broken_by = (error.errno, error.strerror)
+        return ConnectionResetError(*self._broken_by)
 
     def _check_clean_end(self) -> None:
         """Raise ConnectionError if the connection broke, before or after the end of the stream that was just read."""
         if self._broken_by is None and self._tcp_state() == _TCP_CLOSE:
-            self._broken_by = ConnectionResetError(errno.ECONNRESET, "connection was reset after its end")
+            self._broken_by = (errno.ECONNRESET, "connection was reset after its end")
         if self._broken_by is not None:
-            raise self._broken_by
+            raise ConnectionResetError(*self._broken_by)
 
     def is_broken(self) -> bool:
         """Return whether any call found the connection broken, or this side has closed it."""
