Collect a body in one block, however small the pieces are that it comes in

A body in chunks of two bytes took some 60 times its size, so one message within all limits (1 MiB) could take a gateway over its memory. Cause: each chunk was an event and a bytes object of its own until the body was joined at its end. Change: the parser makes one event of what a read brings of a body; whoever holds a whole body collects it in a BodyBuffer.

--- a/fawnspool/api/objects.py
+++ b/fawnspool/api/objects.py
@@ -32,6 +32,7 @@
 from fawnspool.gateway.gateway import Gateway, ObjectRequest
 from fawnspool.gateway.map_client import MapServiceError
 from fawnspool.gateway.request_state import AnswerKind, ClientRequest, NodeAnswer, RequestBody
+from fawnspool.net.body_buffer import BodyBuffer, join_pieces
 from fawnspool.net.exceptions import HttpError
 from fawnspool.net.exchange import Exchange
 from fawnspool.net.http import MessageLimits
@@ -300,20 +301,19 @@
         head = exchange.head
         max_replayed_bytes = self.config.clients.replay_bytes
         if head.length is not None and head.length <= max_replayed_bytes:
-            return RequestBody(b"".join(exchange.body()), head.length)
+            return RequestBody(join_pieces(exchange.body()), head.length)
         pieces = exchange.body()
-        start: list[bytes] = []
-        size = 0
+        start = BodyBuffer()
         if not head.expects_continue:
             for piece in pieces:
                 start.append(piece)
-                size += len(piece)
-                if size > max_replayed_bytes:
+                if len(start) > max_replayed_bytes:
                     break
             else:
-                return RequestBody(b"".join(start), size)  # a chunked body that turned out to be small
-        rest = _limited(pieces, size, self.config.clients.largest_body)
-        return RequestBody(b"".join(start), head.length, rest)
+                size = len(start)
+                return RequestBody(start.take(), size)  # a chunked body that turned out to be small
+        rest = _limited(pieces, len(start), self.config.clients.largest_body)
+        return RequestBody(start.take(), head.length, rest)
 
     def _submit_following_moves(
         self, operation: _Operation, location: ExtentLocation, submit: Callable[[ExtentLocation], ClientRequest]
--- a/fawnspool/net/client_connection.py
+++ b/fawnspool/net/client_connection.py
@@ -4,6 +4,7 @@
 
 import time
 
+from fawnspool.net.body_buffer import BodyBuffer
 from fawnspool.net.exceptions import (
     ConnectionBrokenError,
     ConnectionClosedError,
@@ -101,16 +102,12 @@
 
     def read_body(self, deadline: float, max_bytes: int | None = None) -> bytes:
         """Read the whole body. Raises the errors of `read_head`, and HttpError once more than `max_bytes` were read."""
-        pieces = []
-        size = 0
+        body = BodyBuffer()
         while (piece := self.read_piece(deadline)) is not None:
-            size += len(piece)
-            if max_bytes is not None and size > max_bytes:
+            body.append(piece)
+            if max_bytes is not None and len(body) > max_bytes:
                 raise HttpError(502, f"response body is longer than {max_bytes} bytes")
-            pieces.append(piece)
-        if len(pieces) == 1:
-            return pieces[0]
-        return b"".join(pieces)
+        return body.take()
 
     def _next_event(self, deadline: float) -> MessageEvent:
         events = self._parser.events
--- a/fawnspool/net/http.py
+++ b/fawnspool/net/http.py
@@ -126,12 +126,14 @@
     _head_bytes: int = 0
     _header_count: int = 0
     _unfinished_bytes: int = 0  # fed since the last complete part (head, piece of a body, message)
+    _body: list[bytes] = field(default_factory=list)  # pieces of a body that are not in the events yet
     _rejection: tuple[int, str] | None = None  # status and text of the error that a callback raised
 
     def feed(self, data: bytes) -> None:
         """Parse bytes and append the resulting events to `events`.
 
-        The bytes are parsed in slices, so that a part without an end is rejected before more of it is kept.
+        The bytes are parsed in slices, so that a part without an end is rejected before more of it is kept. What they
+        bring of a body is one event, however small its chunks are.
 
         Raises
         ------
@@ -141,10 +143,12 @@
         slice_bytes = self.limits.head_bytes
         if len(data) <= slice_bytes:
             self._feed_slice(data)
-            return
-        view = memoryview(data)
-        for start in range(0, len(view), slice_bytes):
-            self._feed_slice(view[start : start + slice_bytes])
+        else:
+            view = memoryview(data)
+            for start in range(0, len(view), slice_bytes):
+                self._feed_slice(view[start : start + slice_bytes])
+        if self._body:
+            self._flush_body()
 
     def _feed_slice(self, data: bytes | memoryview) -> None:
         self._unfinished_bytes += len(data)  # the callbacks reset it when a part is complete
@@ -217,13 +221,20 @@
         self._headers[name] = value
 
     def on_body(self, piece: bytes) -> None:
-        """Append a piece of the body to the events."""
+        """Keep a piece of the body for the next event."""
         self._unfinished_bytes = 0
-        self.events.append(piece)
+        self._body.append(piece)
+
+    def _flush_body(self) -> None:
+        pieces = self._body
+        self.events.append(pieces[0] if len(pieces) == 1 else b"".join(pieces))
+        pieces.clear()
 
     def on_message_complete(self) -> None:
         """Append the end of the message to the events."""
         self._unfinished_bytes = 0
+        if self._body:
+            self._flush_body()
         self.events.append(END_OF_MESSAGE)
 
 
@@ -316,7 +327,7 @@
     def on_message_complete(self) -> None:
         """Mark the response as complete, unless it is informational."""
         if self._grammar.get_status_code() >= _FIRST_FINAL_STATUS:
-            self.events.append(END_OF_MESSAGE)
+            super().on_message_complete()
             self.complete = True
 
     def _upgrade_error(self) -> HttpError:
--- a/fawnspool/relay/request_handler.py
+++ b/fawnspool/relay/request_handler.py
@@ -19,6 +19,7 @@
 from fawnspool.gateway.answer_reasons import reason_for_client
 from fawnspool.gateway.core import GatewayCore
 from fawnspool.gateway.request_state import AnswerKind, ClientRequest, RequestBody
+from fawnspool.net.body_buffer import BodyBuffer
 from fawnspool.net.exceptions import HttpError
 from fawnspool.net.exchange import Exchange
 from fawnspool.net.http import MessageLimits, RequestHead
@@ -290,13 +291,13 @@
         return min(int(raw) / _MS_PER_S, request_class.deadline_s)
 
     def _read_body(self, exchange: Exchange) -> bytes:
-        pieces = []
+        body = BodyBuffer()
         for piece in exchange.body():
-            pieces.append(piece)
+            body.append(piece)
             if exchange.body_bytes > MAX_BODY_BYTES:
                 raise _body_too_long()
             self.long_bodies.reserve(exchange, exchange.body_bytes)
-        return b"".join(pieces)
+        return body.take()
 
     def _finish(self, pending: ClientRequest, exchange: Exchange) -> None:
         """Count the request and send its final answer."""
--- a/fawnspool/standins/map_service.py
+++ b/fawnspool/standins/map_service.py
@@ -14,6 +14,7 @@
 
 from fawnspool.extents.records import LOG_START, NO_GENERATION, NO_SHARD, ExtentWrite, LogPosition, MapDelta
 from fawnspool.leases.fencing import StaleTokenError
+from fawnspool.net.body_buffer import join_pieces
 from fawnspool.net.exceptions import HttpError
 from fawnspool.net.exchange import Exchange
 from fawnspool.standins.map_database import MapDatabase
@@ -78,7 +79,7 @@
             self._watch(exchange, query)
             return
         try:
-            fields = msgspec.msgpack.decode(b"".join(exchange.body()))
+            fields = msgspec.msgpack.decode(join_pieces(exchange.body()))
             reply = self._check_token(path, fields) if path in _FENCED_PATHS else None
             if reply is None:
                 reply = self._handlers.get(path, _answer_unknown)(fields)
--- a/fawnspool/standins/node.py
+++ b/fawnspool/standins/node.py
@@ -17,6 +17,7 @@
 
 from fawnspool.extents.replicas import ReplicaResult
 from fawnspool.model.node import NodeBehaviour, NodeTraits
+from fawnspool.net.body_buffer import join_pieces
 from fawnspool.net.exceptions import ClientDisconnectedError, HttpError
 from fawnspool.net.exchange import Exchange
 from fawnspool.net.server import Server, ServerCallbacks
@@ -242,7 +243,7 @@
 
     def _handle_control(self, exchange: Exchange) -> None:
         """Answer a request of a migrator, a drill or a probe."""
-        body = b"".join(exchange.body())
+        body = join_pieces(exchange.body())
         head = exchange.head
         path, _, query = head.target.decode("latin-1").partition("?")
         if path in MIGRATION_PATHS:
--- a/fawnspool/standins/platform.py
+++ b/fawnspool/standins/platform.py
@@ -15,6 +15,7 @@
 from gevent.event import Event
 from gevent.queue import Empty, Queue
 
+from fawnspool.net.body_buffer import join_pieces
 from fawnspool.net.exceptions import HttpError
 from fawnspool.net.exchange import Exchange
 from fawnspool.net.server import Server
@@ -203,7 +204,7 @@
 
 def _read_request(exchange: Exchange) -> ShelfRequest:
     head = exchange.head
-    body = b"".join(exchange.body())
+    body = join_pieces(exchange.body())
     ident = head.headers.get(b"request-id", b"").decode()
     return ShelfRequest(ident, head.method.decode(), head.target.decode(), head.headers, body, time.monotonic())
 
