Keep an unfinished list object in one block, and count its line ends

An object of discovery's watch may have 4 MiB; in small pieces it took over 20 times as much memory, in short lines over 40 times, and empty lines inside it were not counted at all. Cause: ObjectSplitter kept each piece and each line as an object of its own, and counted bytes without line ends. Change: the incomplete line and the incomplete object are one growing block each, with the line ends. Evidence: test_object_without_end_is_rejected_and_takes_little_more_memory_than_its_limit: 3 of 3 failed on the code before (4,305,258 and 8,427,078 bytes for a limit of 200,000; DID NOT RAISE for empty lines), none fails now.

--- a/fawnspool/gateway/json_splitter.py
+++ b/fawnspool/gateway/json_splitter.py
@@ -24,11 +24,9 @@
 
     def __init__(self, max_bytes: int) -> None:
         self.max_bytes = max_bytes
-        self.line_parts: list[bytes] = []  # parts of the line whose end has not arrived
-        self.line_bytes = 0
-        self.object_lines: list[bytes] = []  # lines of the object that is not complete
-        self.object_bytes = 0
-        self.depth = 0
+        self._line = bytearray()  # the line whose end has not arrived
+        self._object = bytearray()  # complete lines of the object that is not complete, with their ends
+        self._depth = 0  # brackets that are open
 
     def feed(self, data: bytes) -> Iterator[bytes]:
         r"""Yield each object that `data` completes, and b"" for an empty line between two objects.
@@ -40,31 +38,34 @@
         """
         *line_ends, last = data.split(b"\n")
         for line_end in line_ends:
-            line = b"".join((*self.line_parts, line_end))
-            self.line_parts = []
-            self.line_bytes = 0
-            if self.depth == 0 and not line.strip():
+            line = self._take_line(line_end)
+            if self._depth == 0 and not line.strip():
                 yield b""
                 continue
             self._add_line(line)
-            if self.depth <= 0:
+            if self._depth <= 0:
                 yield self._take_object()
-        self.line_parts.append(last)
-        self.line_bytes += len(last)
-        if self.object_bytes + self.line_bytes > self.max_bytes:
+        self._line += last
+        if len(self._object) + len(self._line) > self.max_bytes:
             raise ObjectTooLargeError(self.max_bytes)
 
+    def _take_line(self, line_end: bytes) -> bytes:
+        if not self._line:
+            return line_end
+        line = bytes(self._line) + line_end
+        self._line.clear()
+        return line
+
     def _add_line(self, line: bytes) -> None:
         without_strings = _STRING.sub(b"", line)
         opened = without_strings.count(b"{") + without_strings.count(b"[")
         closed = without_strings.count(b"}") + without_strings.count(b"]")
-        self.depth += opened - closed
-        self.object_lines.append(line)
-        self.object_bytes += len(line)
+        self._depth += opened - closed
+        self._object += line
+        self._object += b"\n"
 
     def _take_object(self) -> bytes:
-        complete = b"\n".join(self.object_lines)
-        self.object_lines = []
-        self.object_bytes = 0
-        self.depth = 0
+        complete = bytes(self._object[:-1])
+        self._object.clear()
+        self._depth = 0
         return complete
--- a/tests/test_json_splitter.py
+++ b/tests/test_json_splitter.py
@@ -4,10 +4,36 @@
 
 import json
 import time
+import tracemalloc
 
 import pytest
 
-from fawnspool.gateway.json_splitter import ObjectSplitter
+from fawnspool.gateway.json_splitter import ObjectSplitter, ObjectTooLargeError
+
+MAX_BYTES = 200_000
+MEMORY_FACTOR = 4  # of the limit: the buffers and their growth
+# The beginning of an object, and what then comes again and again.
+ENDLESS_OBJECTS = {
+    "line in small pieces": (b'{"a": "', b"xy"),
+    "short lines": (b"{\n", b"1\n"),
+    "empty lines": (b"{\n", b"\n"),
+}
+
+
+@pytest.mark.parametrize("case", ENDLESS_OBJECTS)
+def test_object_without_end_is_rejected_and_takes_little_more_memory_than_its_limit(case: str) -> None:
+    """Guards against a service that decides how much memory its list takes: line ends were not counted."""
+    start, repeated = ENDLESS_OBJECTS[case]
+    splitter = ObjectSplitter(MAX_BYTES)
+    list(splitter.feed(start))
+    tracemalloc.start()
+    try:
+        with pytest.raises(ObjectTooLargeError):
+            for _ in range(2 * MAX_BYTES // len(repeated)):
+                list(splitter.feed(bytes(bytearray(repeated))))
+        assert tracemalloc.get_traced_memory()[1] < MEMORY_FACTOR * MAX_BYTES
+    finally:
+        tracemalloc.stop()
 
 
 @pytest.mark.parametrize("repeated", [b'\\"', b"x", b'"', b'\\"\\', b'{"a":"'])
