End a turn of the event loop after 5 ms, whatever its events cost

Cause: the loop handled up to 64 events before timers and other greenlets had a turn: at some 10 ms a change 0.64 s. Change: a turn ends after 5 ms as well; the order of events stays. Evidence: test_events_that_take_long_leave_other_greenlets_their_turn: on the code before 64 events of 3 ms ran in one turn ("assert 64 <= 2"), now 2 at most.

--- a/fawnspool/gateway/event_loop.py
+++ b/fawnspool/gateway/event_loop.py
@@ -21,6 +21,7 @@
 from fawnspool.scheduling import interface
 
 _MAX_EVENTS_PER_ITERATION = 64  # then due timers are handled, even if more events are queued
+_MAX_TURN_S = 0.005  # so long events are handled before timers and other greenlets have their turn
 _STOP_TIMEOUT_S = 1.0
 _MAX_LOGGED_ACTION_CHARS = 200
 
@@ -112,12 +113,15 @@
 
     def _handle_queued(self) -> None:
         handled = 0
+        ends_at = time.monotonic() + _MAX_TURN_S
         while self.inbox and handled < _MAX_EVENTS_PER_ITERATION:
             queued = self.inbox.popleft()
             handled += 1
             event = self._make_event(queued) if callable(queued) else queued
             if event is not None:
                 self._handle(event)
+            if time.monotonic() >= ends_at:
+                return
 
     def _handle_due_timers(self) -> None:
         now = time.monotonic()
