Pace a watch by the event loop, so that its messages leave others their turn

Complete small messages of a list service, one after the other, were all applied in one turn (20,000 heartbeats, 820 changes), and filled the queue of events without a bound. Cause: WatchClient applied all that a read completed, and nothing held it back where the event loop was behind. Change: after each 16 messages a watch waits until the loop has handled what was posted; the rest stays in the socket. The map's watch posts no events and lets other greenlets run.

--- a/fawnspool/gateway/event_loop.py
+++ b/fawnspool/gateway/event_loop.py
@@ -92,6 +92,12 @@
             self.asleep = False
             self.wake.set()
 
+    def wait_until_handled(self) -> None:
+        """Wait until all events posted so far are handled, so that a source of events doesn't outpace the loop."""
+        handled = WakeupEvent()
+        self.post(handled.set)
+        handled.wait(None)
+
     def set_timer(self, delay_s: float, token: int) -> None:
         """Pass `Timer(token)` to the module after `delay_s` seconds."""
         self.timers_set += 1
--- a/fawnspool/gateway/gateway.py
+++ b/fawnspool/gateway/gateway.py
@@ -151,6 +151,7 @@
             ),
         )
         self.endpoints = self._make_endpoints(records)
+        self.endpoints.wait_until_handled = self.loop.wait_until_handled
         self.extent_directory = self._make_extent_directory(source)
         self.probes = gevent.pool.Group()
         self.peers: PeerSocket | None = None
--- a/fawnspool/gateway/watch_client.py
+++ b/fawnspool/gateway/watch_client.py
@@ -24,6 +24,7 @@
 _MAX_CONNECTIONS = 4
 _IDLE_TIMEOUT_S = 60.0
 _MAX_EVICTIONS = 4  # connections closed to free a descriptor for one call
+_MESSAGES_PER_TURN = 16  # objects and heartbeats applied before the watch waits for the event loop
 _OK = 200
 _Result = TypeVar("_Result")
 
@@ -58,6 +59,12 @@
         Called with each event for the decision module.
     free_descriptor
         Closes a connection that is not in use, to free its descriptor; returns False if there is none.
+
+    Attributes
+    ----------
+    wait_until_handled
+        Waits until the posted events are handled; other greenlets run meanwhile. A watch calls it between its messages,
+        so that a service that sends without a pause does not fill the memory with events.
     """
 
     version = 0
@@ -75,6 +82,7 @@
         self.post = post
         self.log = log
         self.free_descriptor = free_descriptor
+        self.wait_until_handled: Callable[[], None] = _let_others_run
         self.pool = ConnectionPool(address, PoolOptions(_MAX_CONNECTIONS, timeouts.call_s, _IDLE_TIMEOUT_S))
         self.last_message_at: float | None = None  # monotonic
         self.reachable = False
@@ -198,6 +206,7 @@
         """
         last_complete = time.monotonic()
         splitter = ObjectSplitter(self.max_object_bytes)
+        messages = 0
         while True:
             data = connection.read_piece(last_complete + self.timeouts.silence_s)
             if data is None:
@@ -209,6 +218,9 @@
                 else:
                     self.last_message_at = last_complete
                     self.on_heartbeat()
+                messages += 1
+                if messages % _MESSAGES_PER_TURN == 0:
+                    self.wait_until_handled()
 
     def _with_descriptor(self, work: Callable[[], _Result]) -> _Result:
         """Call `work`, which needs a descriptor; if none is left, close unused connections and call it again."""
@@ -229,3 +241,7 @@
         self.reachable = False
         self.log.warning("endpoint_service_unreachable", error=str(error) or type(error).__name__)
         self.post(interface.EndpointUpdate(interface.UpdateKind.POLL_FAILED, self.version, ()))
+
+
+def _let_others_run() -> None:
+    gevent.sleep(0)
--- a/fawnspool/relay/process.py
+++ b/fawnspool/relay/process.py
@@ -76,6 +76,7 @@
             self.log,
             self.free_descriptor,
         )
+        self.discovery.wait_until_handled = self.core.loop.wait_until_handled
         self.core.endpoints = self.discovery
         self.handler = RequestHandler(self.core, settings, config.listen, connection_limits, config.memory_bytes)
         longest_deadline_s = max(request_class.deadline_s for request_class in settings.classes)
