Limit the length of a service's answer by the pool of its connections

Answers to polls of the list, calls of the map service and inventories were read whole until the call's deadline, however long: memory as the peer decides. Cause: call() read a body without the limit that read_body takes.

--- a/fawnspool/gateway/replica_client.py
+++ b/fawnspool/gateway/replica_client.py
@@ -146,7 +146,8 @@
         address = self.node_address(shard)
         if address is None:
             raise _no_node(shard)
-        options = PoolOptions(MAX_CONNECTIONS_PER_NODE, self.timeout_s, IDLE_TIMEOUT_S)
+        # An object that is copied may be as long as clients may write.
+        options = PoolOptions(MAX_CONNECTIONS_PER_NODE, self.timeout_s, IDLE_TIMEOUT_S, max_body_bytes=None)
         pool = self._pools.setdefault(address, ConnectionPool(address, options))
         # The token is read after any wait, just before the call is sent.
         token = self.guard.fencing_token() if node_call.has_effect else {}
--- a/fawnspool/gateway/watch_client.py
+++ b/fawnspool/gateway/watch_client.py
@@ -83,7 +83,8 @@
         self.log = log
         self.free_descriptor = free_descriptor
         self.wait_until_handled: Callable[[], None] = _let_others_run
-        self.pool = ConnectionPool(address, PoolOptions(_MAX_CONNECTIONS, timeouts.call_s, _IDLE_TIMEOUT_S))
+        options = PoolOptions(_MAX_CONNECTIONS, timeouts.call_s, _IDLE_TIMEOUT_S, max_body_bytes=self.max_object_bytes)
+        self.pool = ConnectionPool(address, options)
         self.last_message_at: float | None = None  # monotonic
         self.reachable = False
         self.watch_greenlet: gevent.Greenlet | None = None
--- a/fawnspool/net/client_connection.py
+++ b/fawnspool/net/client_connection.py
@@ -101,7 +101,7 @@
         return event
 
     def read_body(self, deadline: float, max_bytes: int | None = None) -> bytes:
-        """Read the whole body. Raises the errors of `read_head`, and HttpError once more than `max_bytes` were read."""
+        """Read the whole body. Raises the errors of `read_head`, and HttpError if there are more than `max_bytes`."""
         body = BodyBuffer()
         while (piece := self.read_piece(deadline)) is not None:
             body.append(piece)
--- a/fawnspool/net/connection_pool.py
+++ b/fawnspool/net/connection_pool.py
@@ -22,6 +22,8 @@
 from fawnspool.net.http import ResponseHead, format_request_head
 from fawnspool.net.socket_stream import connect
 
+_DEFAULT_MAX_BODY_BYTES = 64 << 20
+
 
 @dataclass(frozen=True)
 class PoolOptions:
@@ -43,6 +45,8 @@
     max_with_spares
         If requests repeatedly wait for the cooldown of a connection, the pool opens spare connections for later
         requests, as long as fewer than this many connections are open, spare or not.
+    max_body_bytes
+        Largest response body that `call` reads; None: no limit.
     """
 
     max_connections: int
@@ -51,6 +55,7 @@
     lenient: bool = False
     cooldown_s: float = 0.0
     max_with_spares: int = 0
+    max_body_bytes: int | None = _DEFAULT_MAX_BODY_BYTES
 
 
 class ConnectionPool:
@@ -231,7 +236,7 @@
         try:
             connection.send(request, deadline)
             head = connection.read_head(deadline)
-            data = connection.read_body(deadline)
+            data = connection.read_body(deadline, pool.options.max_body_bytes)
         except BaseException as error:
             pool.discard(connection)
             if isinstance(error, ConnectionLostError) and not connection.is_new:
--- a/tests/test_client_connections.py
+++ b/tests/test_client_connections.py
@@ -19,9 +19,11 @@
 from fawnspool.net.exceptions import (
     ConnectError,
     ConnectionLostError,
+    HttpError,
     PoolExhaustedError,
 )
 from fawnspool.net.exchange import Exchange
+from fawnspool.net.http import format_chunk
 from fawnspool.net.server import Server
 from fawnspool.net.socket_stream import SocketStream
 
@@ -172,6 +174,29 @@
     connection.close()
 
 
+@pytest.mark.parametrize("has_length", [False, True])
+def test_call_rejects_a_body_longer_than_the_pool_allows(has_length: bool) -> None:
+    """Guards against a service whose answer, an endpoint list for example, fills the memory until the deadline."""
+    sent_bytes = [0]
+
+    def answer(exchange: Exchange) -> None:
+        exchange.begin(200, [], 1 << 40 if has_length else None)
+        piece = b"x" * 65_536
+        with contextlib.suppress(OSError):
+            while sent_bytes[0] < 64 << 20:
+                exchange.write(piece if has_length else format_chunk(piece), time.monotonic() + 1)
+                sent_bytes[0] += len(piece)
+        exchange.finish(False)
+
+    server = Server(("127.0.0.1", 0), answer)
+    server.start()
+    pool = ConnectionPool(server.address, PoolOptions(1, 1.0, 5.0, max_body_bytes=1 << 20))
+    with pytest.raises(HttpError, match="longer than 1048576 bytes"):
+        call(pool, b"GET", b"/", time.monotonic() + 5)
+    assert sent_bytes[0] < 32 << 20 and pool.open_count == 0
+    server.stop()
+
+
 @pytest.fixture
 def echo_server() -> Iterator[Server]:
     server = Server(("127.0.0.1", 0), lambda exchange: exchange.respond(200, [], b"hi"))
