Receive peers' datagrams in turns of 16

Datagrams that arrive faster than they are read kept the gateway from all else. Cause: recvfrom lets other greenlets run only in a wait, and there was none while datagrams had arrived. Change: after each 16 datagrams other greenlets run. Evidence: test_datagrams_without_a_pause_let_other_greenlets_run: 501 of 501 in one turn on the code before, now 16 at most.

--- a/fawnspool/gateway/peers.py
+++ b/fawnspool/gateway/peers.py
@@ -9,6 +9,7 @@
 
 from __future__ import annotations
 
+import itertools
 import socket as std_socket
 import struct
 import time
@@ -25,6 +26,7 @@
 SOCKET_RETRY_S = 0.05  # pause after a socket error other than a refused datagram
 _MAGIC = b"FP1"
 _HEADER = struct.Struct(">3sIQQ")
+_DATAGRAMS_PER_TURN = 16  # received without a pause before other greenlets run
 _RECEIVE_BYTES = 2048  # more than any valid datagram, so that a longer one is not read as a valid one
 
 MessageHandler = Callable[[int, bytes], None]
@@ -84,7 +86,9 @@
         self.sock.close()
 
     def _receive_all(self) -> None:
-        while True:
+        for number in itertools.count(1):
+            if number % _DATAGRAMS_PER_TURN == 0:
+                gevent.sleep(0)  # a datagram that has arrived is read without a wait
             try:
                 datagram, _ = self.sock.recvfrom(_RECEIVE_BYTES)
             except ConnectionError:
--- a/tests/test_peer_message_faults.py
+++ b/tests/test_peer_message_faults.py
@@ -151,6 +151,33 @@
     assert received == [b"\x07second"] and not peers.greenlet.ready()
 
 
+class FloodedSocket:
+    """A socket on which datagrams arrive faster than they are read, until the given number was read."""
+
+    def __init__(self, datagrams: int) -> None:
+        self.datagrams = datagrams
+        self.read_by_turn = [0]
+
+    def recvfrom(self, size: int) -> tuple[bytes, Any]:
+        self.read_by_turn[-1] += 1
+        if sum(self.read_by_turn) > self.datagrams:
+            raise gevent.GreenletExit
+        return b"FP1", None
+
+
+def test_datagrams_without_a_pause_let_other_greenlets_run(peers: PeerSocket) -> None:
+    """Guards against a peer that keeps the process from all else by sending faster than it is read."""
+    own_socket, flooded = peers.sock, FloodedSocket(500)
+    peers.greenlet.kill()
+    peers.sock = flooded  # type: ignore[assignment]
+    peers.greenlet = gevent.spawn(peers._receive_all)
+    while not peers.greenlet.dead:
+        flooded.read_by_turn.append(0)
+        gevent.sleep(0)
+    peers.sock = own_socket
+    assert sum(flooded.read_by_turn) > 500 and max(flooded.read_by_turn) <= 32
+
+
 def test_peer_socket_survives_a_socket_error(
     peers: PeerSocket, other_peer: PeerSocket, monkeypatch: pytest.MonkeyPatch
 ) -> None:
