Count the time for a part of a request from the last complete part

A client that sent a byte of a chunk line or a trailer now and then was waited for without an end; the live gateway limits the whole request to 2.2 s. Cause: next_event began the time for the next piece anew at each read, also where a read completed no piece. Change: the time counts from the last complete piece; a slow body whose pieces arrive in time is read as before.

--- a/fawnspool/net/server_connection.py
+++ b/fawnspool/net/server_connection.py
@@ -164,10 +164,12 @@
             The event did not arrive in time.
         """
         events = self.parser.events
+        if events:
+            return events.popleft()
+        event_deadline = time.monotonic() + self.server.options.read_timeout_s
         while not events:
-            piece_deadline = time.monotonic() + self.server.options.read_timeout_s
             try:
-                data = self.stream.recv(read_bytes, self._bounded(self._request_deadline, piece_deadline))
+                data = self.stream.recv(read_bytes, self._bounded(self._request_deadline, event_deadline))
             except TimeoutError:
                 raise
             except OSError:
