Test that chunk lines and trailers without an end are rejected, and sound ones kept

Cause: that of the head without an end: only complete fields were counted, and of chunk lines nothing.

--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -12,7 +12,15 @@
     HttpError,
     TrailingDataError,
 )
-from fawnspool.net.http import END_OF_MESSAGE, MessageLimits, RequestHead, RequestParser, ResponseHead, ResponseParser
+from fawnspool.net.http import (
+    END_OF_MESSAGE,
+    MessageEvent,
+    MessageLimits,
+    RequestHead,
+    RequestParser,
+    ResponseHead,
+    ResponseParser,
+)
 
 REQUESTS = (
     b"PUT /a HTTP/1.1\r\nHost: t\r\nContent-Length: 5\r\n\r\nhello"
@@ -136,3 +144,57 @@
     head, end = parser.events
     assert isinstance(head, RequestHead | ResponseHead) and len(head.headers) == LIMITS.headers
     assert end is END_OF_MESSAGE
+
+
+def joined(body: list[MessageEvent]) -> bytes:
+    return b"".join(piece for piece in body if isinstance(piece, bytes))
+
+
+CHUNKED_HEADS = {
+    "request": b"PUT / HTTP/1.1\r\nHost: t\r\nTransfer-Encoding: chunked\r\n\r\n",
+    "response": b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+}
+ENDLESS_PARTS = {
+    "chunk extension": (b"1;", b"x"),
+    "chunk size": (b"", b"0"),
+    "value of a trailer": (b"0\r\nX: ", b"x"),
+    "name of a trailer": (b"0\r\n", b"x"),
+    "trailers": (b"0\r\n", b"X: 1\r\n"),
+}
+
+
+@pytest.mark.parametrize("name", CHUNKED_HEADS)
+@pytest.mark.parametrize("case", ENDLESS_PARTS)
+@pytest.mark.parametrize("piece", [1, 1000, 65536])
+def test_chunk_line_or_trailer_without_end_is_rejected_soon_after_the_limit(name: str, case: str, piece: int) -> None:
+    """Guards against the same as an endless head, behind the head: one trailer took a gateway over its memory."""
+    start, repeated = ENDLESS_PARTS[case]
+    fed_bytes = bytes_until_rejected(PARSERS[name](), CHUNKED_HEADS[name] + start, repeated, piece)
+    assert fed_bytes <= 2 * LIMITS.head_bytes
+
+
+@pytest.mark.parametrize("piece", [1, 7, 65536])
+def test_response_with_interim_ones_ahead_small_chunks_and_trailers_is_accepted(piece: int) -> None:
+    interim = b"HTTP/1.1 102 Processing\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: </style.css>\r\n\r\n" * 8
+    chunks = b"2;name=value\r\nab\r\n" * 5000 + b"0\r\nX-Sum: 1\r\nX-Time: 2\r\n\r\n"
+    message = interim + CHUNKED_HEADS["response"] + chunks
+    parser = ResponseParser(LIMITS)
+    for _ in range(20):  # on one connection
+        parser.expect_response()
+        for position in range(0, len(message), piece):
+            parser.feed(message[position : position + piece])
+        head, *body, end = parser.events
+        assert isinstance(head, ResponseHead) and joined(body) == b"ab" * 5000 and end is END_OF_MESSAGE
+        parser.events.clear()
+
+
+@pytest.mark.parametrize("piece", [1, 7, 65536])
+def test_request_with_small_chunks_and_trailers_is_accepted(piece: int) -> None:
+    message = CHUNKED_HEADS["request"] + b"2;name=value\r\nab\r\n" * 5000 + b"0\r\nX-Sum: 1\r\nX-Time: 2\r\n\r\n"
+    parser = RequestParser(LIMITS)
+    for _ in range(20):
+        for position in range(0, len(message), piece):
+            parser.feed(message[position : position + piece])
+        head, *body, end = parser.events
+        assert isinstance(head, RequestHead) and joined(body) == b"ab" * 5000 and end is END_OF_MESSAGE
+        parser.events.clear()
