Reject a response with more than 64 interim responses ahead

Cause: each interim response is a head of its own, so no limit applied to them together. Change: more than 64 of them make a response malformed, which ends its attempt at once.

--- a/fawnspool/net/http.py
+++ b/fawnspool/net/http.py
@@ -47,6 +47,7 @@
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 LAST_CHUNK = b"0\r\n\r\n"
 _STATUS_LINES = {code: b"HTTP/1.1 %d %s\r\n" % (code, text) for code, text in REASONS.items()}
+_MAX_INTERIM_RESPONSES = 64  # informational responses before a final one; sound servers send a few
 _FIRST_FINAL_STATUS = 200  # a response with a lower status is informational; another head follows it
 _OPTIONAL_WHITESPACE = b" \t"  # may surround a field's value and is not part of it (RFC 9110, 5.5)
 _SINGLE_HEADERS = frozenset((b"host", b"content-length", b"transfer-encoding", b"range", b"expect"))
@@ -286,10 +287,11 @@
 class ResponseParser(_MessageParser):
     """Parses the responses of a connection; the caller calls `expect_response` before each of them."""
 
-    __slots__ = ("complete",)
+    __slots__ = ("_interim_responses", "complete")
 
     def __init__(self, limits: MessageLimits) -> None:
         super().__init__(limits, _error_status=502)
+        self._interim_responses = 0  # since the last final response
         self._grammar = httptools.HttpResponseParser(self)
         self.complete = False  # whether the current response is complete
 
@@ -313,7 +315,11 @@
         self._unfinished_bytes = 0
         code = self._grammar.get_status_code()
         if 100 <= code < _FIRST_FINAL_STATUS:
+            self._interim_responses += 1
+            if self._interim_responses > _MAX_INTERIM_RESPONSES:
+                raise self._rejected(502, f"more than {_MAX_INTERIM_RESPONSES} informational responses")
             return
+        self._interim_responses = 0
         length = self._headers.get(b"content-length")
         self.events.append(
             ResponseHead(
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -146,6 +146,12 @@
     assert end is END_OF_MESSAGE
 
 
+def test_interim_responses_without_end_are_rejected() -> None:
+    """Guards against a node that makes the process parse heads until the deadline: each was complete, none final."""
+    interim = b"HTTP/1.1 103 Early Hints\r\nLink: </style.css>\r\n\r\n"
+    assert bytes_until_rejected(ResponseParser(LIMITS), b"", interim, len(interim)) <= 100 * len(interim)
+
+
 def joined(body: list[MessageEvent]) -> bytes:
     return b"".join(piece for piece in body if isinstance(piece, bytes))
 
