Limit the entries of discovery's list, and the lines logged about malformed ones

An object of the watch may have 4 MiB: two million entries, each handled and logged in one turn; deltas with ever new hosts let the tables grow without a bound. Cause: DiscoveryClient limited neither a message's entries nor the known hosts. Eight malformed entries are logged one by one, then their number.

--- a/fawnspool/relay/discovery.py
+++ b/fawnspool/relay/discovery.py
@@ -23,6 +23,8 @@
 _MS_PER_S = 1000
 _NUMBER_FIELDS = ("share", "born_ms")
 _MAX_LOGGED_ENTRY_CHARS = 200
+_MAX_LOGGED_ENTRIES = 8  # malformed entries of one message that are logged one by one
+MAX_HOSTS = 16_384  # known hosts and a message's entries together, five times the platform's largest fleet
 
 
 @dataclass(frozen=True)
@@ -84,6 +86,7 @@
         self.start_times.observe_clocks(time.time(), time.monotonic())
         self.last_number = 0
         self.older_lists_in_row = 0
+        self.malformed_entries = 0  # of the last message
         self.confirmed = False  # whether the service has sent or confirmed the current list
 
     def start(self, known: Mapping[str, Any]) -> None:
@@ -154,14 +157,20 @@
         raw_entries = message.get("hosts") or []
         if not isinstance(raw_entries, list):
             raise UnexpectedFieldError("hosts", "a list")
+        is_delta = kind is interface.UpdateKind.DELTA
+        known = len(self.nodes) if is_delta else 0
+        if known + len(raw_entries) > MAX_HOSTS:
+            raise UnexpectedFieldError("hosts", f"at most {MAX_HOSTS} with the {known} known ones")
         now = time.monotonic()
         self.start_times.observe_clocks(time.time(), now)
-        is_delta = kind is interface.UpdateKind.DELTA
         if not is_delta:
             self.nodes = {}
+        self.malformed_entries = 0
         endpoints = [
             endpoint for raw_entry in raw_entries if (endpoint := self._apply_entry(raw_entry, now)) is not None
         ]
+        if self.malformed_entries > _MAX_LOGGED_ENTRIES:
+            self.log.error("endpoint_entries_malformed", entries=self.malformed_entries, version=version)
         if not is_delta:
             self.numbers = {node.name: number for number, node in self.nodes.items()}
             self.start_times.retain(set(self.numbers))
@@ -186,6 +195,9 @@
         return endpoint
 
     def _log_malformed(self, raw_entry: Any, error: Exception) -> None:
+        self.malformed_entries += 1
+        if self.malformed_entries > _MAX_LOGGED_ENTRIES:
+            return
         self.log.error("endpoint_entry_malformed", entry=str(raw_entry)[:_MAX_LOGGED_ENTRY_CHARS], error=str(error))
 
     def _endpoint(self, host: ListedHost, now: float) -> interface.Endpoint:
