--- a/fawnspool/net/listener.py
+++ b/fawnspool/net/listener.py
@@ -3,10 +3,10 @@
 from __future__ import annotations
 
 import contextlib
-import ctypes
 import select
 import socket as std_socket
 import struct
+from array import array
 from typing import Any
 
 from gevent import socket
@@ -67,8 +67,9 @@
         False if the system does not support such a filter.
     """
     code = b"".join(_INSTRUCTION.pack(*instruction) for instruction in _DROP_SYN)
-    buffer = ctypes.create_string_buffer(code, len(code))
-    program = _PROGRAM.pack(len(_DROP_SYN), ctypes.addressof(buffer))
+    instructions = array("B", code)
+    address, _ = instructions.buffer_info()
+    program = _PROGRAM.pack(len(_DROP_SYN), address)
     try:
         sock.setsockopt(std_socket.SOL_SOCKET, _SO_ATTACH_FILTER, program)
     except OSError:
--- a/fawnspool/relay/config.py
+++ b/fawnspool/relay/config.py
@@ -6,7 +6,6 @@
 import json
 from collections.abc import Mapping
 from dataclasses import dataclass
-from pathlib import Path
 from typing import Any
 
 from fawnspool.adapter.settings import SettingsError, read_tree
@@ -80,7 +79,8 @@
 
 def _read_json(path: str) -> Any:
     try:
-        return json.loads(Path(path).read_text(encoding="utf-8"))
+        with open(path, encoding="utf-8") as file:  # noqa: PTH123 - pathlib takes memory, and nothing else here needs it
+            return json.load(file)
     except OSError as error:
         problem = f"{error.strerror}; {CONFIG_VARIABLE} must name the configuration file"
         if error.errno in (errno.EMFILE, errno.ENFILE):
