Take no attempt that its client left no time for as a failure of its node

Cause: scheduling/scheduler.py took any attempt that timed out without an answer since its send as a sign of a silent node, also after 1 ms. Three of them ejected the node for everyone; a connect that the client's time cut short even counted as a refused connection, so the node was taken for restarted and slowed down.

Evidence: in 5.5 s the log had 69 lines `suspected` for three sound nodes; the loop's worst lag was 3 ms, so it was not its turn.

Why it works: a timeout shows something only if the attempt waited for three mean responses, or for a check interval. A connect counts only if it had half the connect timeout.

--- a/fawnspool/gateway/attempts.py
+++ b/fawnspool/gateway/attempts.py
@@ -186,10 +186,19 @@
         except ConnectError as error:
             if attempt.cancelled:
                 raise _AttemptEndedError(AttemptEnding.CANCELLED_UNSENT) from None
-            if time.monotonic() >= attempt.write_by:  # the time to write was over: not the node's failure
+            if self._had_too_little_time(error):  # not the node's failure
                 raise _AttemptEndedError(AttemptEnding.OUT_OF_TIME) from None
             raise _AttemptEndedError(_connect_ending(error)) from None
 
+    def _had_too_little_time(self, error: ConnectError) -> bool:
+        """Return whether the attempt's own time, rather than the node, ended the wait for a connection."""
+        now = time.monotonic()
+        if now >= self.attempt.write_by:
+            return True
+        if not isinstance(error, ConnectTimeoutError) or now < self.attempt.deadline:
+            return False
+        return now - self.attempt.started_at < self.pool.options.connect_timeout_s / 2
+
     def _check_before_send(self) -> None:
         """Check again whether to send, because the state may have changed during the wait for a connection."""
         if self.hooks.is_withdrawn(self.attempt.node):
--- a/fawnspool/scheduling/outliers.py
+++ b/fawnspool/scheduling/outliers.py
@@ -30,6 +30,11 @@
     return SILENCE_MEAN_RESPONSES * max(least_objective_s / 2, mean_response_s)
 
 
+def min_evidence_s(check_interval_s: float, mean_response_s: float) -> float:
+    """Return how long an attempt must have waited for its timeout to show anything about its node."""
+    return min(check_interval_s, SILENCE_MEAN_RESPONSES * mean_response_s)
+
+
 @dataclass(slots=True)
 class NodeHealth:
     """The consecutive failures of one node.
--- a/fawnspool/scheduling/scheduler.py
+++ b/fawnspool/scheduling/scheduler.py
@@ -42,7 +42,7 @@
 )
 from fawnspool.scheduling.node_queue import NodeQueue
 from fawnspool.scheduling.ordering import RequestOrder
-from fawnspool.scheduling.outliers import FAILURES_TO_EJECT, is_failure, max_silence_s
+from fawnspool.scheduling.outliers import FAILURES_TO_EJECT, is_failure, max_silence_s, min_evidence_s
 from fawnspool.scheduling.pending_request import Attempt, PendingRequest, Rank
 from fawnspool.scheduling.placement import choose_node
 from fawnspool.scheduling.rate_limits import RateLimiter, RateLimits
@@ -345,8 +345,7 @@
     ) -> None:
         """Update the node's state from the outcome of an attempt."""
         node_queue.queue.record_end(pending.request.volume)
-        # A node that has answered since the send is not silent: the attempt was lost on its way.
-        is_silent = event.result is Result.TIMED_OUT and node_queue.health.last_answer_at <= attempt.sent_at
+        is_silent = event.result is Result.TIMED_OUT and self._shows_silence(node_queue, attempt)
         if is_failure(event, is_silent):
             if event.result is Result.CONNECT_FAILED:
                 node_queue.health.record_refused_connection()
@@ -364,6 +363,17 @@
             node_queue.record_response(pending, response_s, self.target_response_s, self.fleet_times, self.now)
         node_queue.queue.shift_tags(self.now)
 
+    def _shows_silence(self, node_queue: NodeQueue, attempt: Attempt) -> bool:
+        """Return whether an attempt that timed out is evidence that its node is silent.
+
+        It is not if the node has answered since the send, as the attempt was then lost on its way, nor if the client
+        left less time than a node that is well may take.
+        """
+        if node_queue.health.last_answer_at > attempt.sent_at:
+            return False
+        needed_s = min_evidence_s(self.check_interval_s, node_queue.mean_response_s())
+        return self.now - attempt.sent_at >= needed_s
+
     def _retry_or_give_up(self, pending: PendingRequest, node_queue: NodeQueue, result: Result) -> None:
         """Retry a request that has no attempt in flight and is still owed an answer, or give it up."""
         is_movable = pending.request.is_new_object and not pending.ambiguous_attempts()
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -107,6 +107,23 @@
     assert attempt_ending(ConnectionPool(("127.0.0.1", 1), PoolOptions(2, 0.5, 10.0)), attempt) is expected
 
 
+@pytest.mark.parametrize(
+    ("deadline_s", "ending"), [(-0.1, AttemptEnding.OUT_OF_TIME), (5.0, AttemptEnding.CONNECT_TIMEOUT)]
+)
+def test_connect_that_the_client_left_no_time_for_is_not_blamed_on_the_node(
+    monkeypatch: pytest.MonkeyPatch, deadline_s: float, ending: AttemptEnding
+) -> None:
+    """Guards against nodes that are ejected, and taken for restarted, by requests with a millisecond left."""
+    attempt = make_attempt()
+
+    def connect(address: tuple[str, int], deadline: float) -> Any:
+        attempt.deadline = time.monotonic() + deadline_s
+        raise DeadlineExceededError
+
+    monkeypatch.setattr(connection_pool, "connect", connect)
+    assert attempt_ending(ConnectionPool(("127.0.0.1", 1), PoolOptions(2, 0.5, 10.0)), attempt) is ending
+
+
 def test_full_pool_ends_an_attempt_as_pool_exhausted() -> None:
     assert (
         attempt_ending(ConnectionPool(("127.0.0.1", 1), PoolOptions(0, 0.5, 10.0)), make_attempt())
--- a/tests/test_former_decisions.py
+++ b/tests/test_former_decisions.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
 from pathlib import Path
 from random import Random
 from typing import Any
@@ -86,6 +87,7 @@
         self.current = Scheduler(self.settings, seed)
         self.now = self.random.choice([0.0, 100.0])
         patch_slow_start(self.former.inner, self.now)
+        patch_silence(self.former.inner, min(c.latency_objective_s for c in self.settings.classes))
         self.pause_s = self.random.choice([0.01, 0.05, 0.3])
         self.fault_rate = self.random.choice([0.0, 0.1, 0.5])
         self.nodes = self.random.choice([1, 2, 3, MAX_NODES])
@@ -233,6 +235,24 @@
     former._cold_room = cold_room_since_start
 
 
+def patch_silence(former: Any, least_objective_s: float) -> None:
+    """Make the former build learn nothing from an attempt that timed out too soon, as the current one does.
+
+    It took any timeout without an answer as a sign that the node is silent. All its other decisions stay the same.
+    """
+    learn = former._learn
+
+    def learn_from_long_attempts(lane: Any, job: Any, event: Any, attempt: Any) -> None:
+        mean_response_s = lane.response or least_objective_s * 0.35 / 2
+        needed_s = min(least_objective_s / 8, 3 * mean_response_s)
+        results = type(event.result)
+        if event.result is results.TIMED_OUT and former.now - attempt.sent < needed_s:
+            event = replace(event, result=results.CANCELLED)
+        learn(lane, job, event, attempt)
+
+    former._learn = learn_from_long_attempts
+
+
 def result_of(scheduler: Any, now: float, event: interface.Event) -> tuple[list[interface.Action], str]:
     """Return the actions, and the error that was raised."""
     try:
