Give all clients their turn before the next request of one client

Cause: net/admission_throttle.py let 16 requests begin in an iteration of the loop, all of them of one connection if its were there first, and let a request pass once its time was over, so such requests were not throttled at all.

Why it works: a connection starts one request per iteration; its next one queues behind those of other clients. A request without time left waits as others do, at most 0.2 s longer than its time.

--- a/fawnspool/net/server_connection.py
+++ b/fawnspool/net/server_connection.py
@@ -36,6 +36,7 @@
 FLOOD_BYTES = 32_768
 _HEAD_READ_BYTES = 65536
 _PARSED_AT_ONCE_BYTES = 1024  # so few requests behind the present one are parsed, as a head takes more parsed than not
+_MAX_LATE_START_S = 0.2  # a request without time left is throttled as others are, as rejecting it takes work too
 _LINE_END = b"\r\n"
 _OWED_REASONS = {
     HTTPStatus.REQUEST_TIMEOUT: "the complete request was not received in time",
@@ -116,6 +117,7 @@
 
     __slots__ = (
         "_request_deadline",
+        "_started_in",
         "_unparsed",
         "cause",
         "closing",
@@ -148,6 +150,7 @@
         self.flooded = False
         self._unparsed = b""  # bytes read together with the present request, which follow what is parsed
         self._request_deadline = math.inf  # the request being read must be complete by then
+        self._started_in: int | None = None  # the loop's iteration in which the last request was started
 
     # ------------------------------------------------------------ called by the exchange
 
@@ -348,7 +351,8 @@
         if server.options.untrusted_clients:
             self._request_deadline = arrived_at + server.options.read_timeout_s
         if server.throttle is not None:
-            server.throttle.enter(server.start_deadline(head, arrived_at))
+            deadline = server.start_deadline(head, arrived_at) + _MAX_LATE_START_S
+            self._started_in = server.throttle.enter(deadline, self._started_in)
         exchange.request_read = complete
         if complete:
             self.note_event(ConnectionEvent.REQUEST_COMPLETE)
--- a/tests/test_waits.py
+++ b/tests/test_waits.py
@@ -47,3 +47,20 @@
     gevent.joinall(greenlets)
     assert admitted == list(range(10))
     throttle.close()
+
+
+def test_throttle_gives_all_clients_their_turn_before_the_next_request_of_one() -> None:
+    """Guards against a client that sends without a pause: it had all starts of an iteration, others waited for it."""
+    throttle, order = AdmissionThrottle(16), list[str]()
+
+    def client(name: str, requests: int) -> None:
+        iteration: int | None = None
+        for _ in range(requests):
+            iteration = throttle.enter(None, iteration)
+            order.append(name)
+
+    greenlets = [gevent.spawn(client, "greedy", 60)] + [gevent.spawn(client, f"c{k}", 2) for k in range(3)]
+    gevent.joinall(greenlets, timeout=5)
+    last_of_others = max(place for place, name in enumerate(order) if name != "greedy")
+    assert len(order) == 66 and order[:last_of_others].count("greedy") <= 4
+    throttle.close()
