Charge connections, requests and answers to one budget of memory

Cause: limits stood per connection and per message, and only bodies over 64 KiB were added up. 300 bodies of 62 KB are 18 MB. A connection that was reading a request was never closed for another, so dawdlers held all places until their time was over.

Why it works: connections/resource_budget.py divides the memory, less what the process holds as it starts, into shares; MB are taken as 1,000,000 bytes, the smaller reading. connections/memory_account.py counts what each request holds from its first byte to its answer and decides who gets bytes while they are short: small requests have a reserve, others wait with their bytes in the socket, messages that dawdle are refused (503, Retry-After) for those that wait. The number of connections follows from memory as well as descriptors; where all places are taken, the request that has been arriving for longest is refused. Nodes' answers are counted until their clients have them. Long bodies and answers are not copied to join them with their heads.

State lines have new fields: resident_mb, requests_mb, answers_mb and their peaks, refused_for_memory, shed_for_memory, volumes, worst_lag_s. Connections that end so are counted as `no memory was left for its request`, attempts as `no memory was left for its answer`.

--- a/fawnspool/connections/states.py
+++ b/fawnspool/connections/states.py
@@ -3,16 +3,17 @@
 A request that was read is answered. Unread bytes are not: the operating system resets the connection, which tells the
 client that it may send them again.
 
-| state     | bytes arrive | client closes, or connection breaks | deadline | eviction | shutdown  | internal error |
-| --------- | ------------ | ----------------------------------- | -------- | -------- | --------- | -------------- |
-| new, idle | reading      | closed                              | closed   | closed   | closed    | -              |
-| reading   | handling     | closed                              | 408      | never    | 503       | 500            |
-| handling  | left unread  | abandoned                           | answered | never    | answered  | 500            |
-| answering | left unread  | closed                              | closed   | never    | completed | closed         |
-| closing   | left unread  | closed                              | closed   | never    | closed    | closed         |
-
-"Closed" leaves unread bytes unread. A shutdown waits for requests that are being handled; they are cut short only if
-the process is ended meanwhile (`CloseCause.KILLED`), and are then answered with 500 first.
+| state     | bytes arrive | client left | deadline | eviction | overload | shutdown  | internal error |
+| --------- | ------------ | ----------- | -------- | -------- | -------- | --------- | -------------- |
+| new, idle | reading      | closed      | closed   | closed   | -        | closed    | -              |
+| reading   | handling     | closed      | 408      | never    | 503      | 503       | 500            |
+| handling  | left unread  | abandoned   | answered | never    | never    | answered  | 500            |
+| answering | left unread  | closed      | closed   | never    | never    | completed | closed         |
+| closing   | left unread  | closed      | closed   | never    | never    | closed    | closed         |
+
+"Client left": it closed the connection, or the connection broke. "Closed" leaves unread bytes unread. A shutdown waits
+for requests that are being handled; they are cut short only if the process is ended meanwhile (`CloseCause.KILLED`) and
+are then answered with 500 first.
 
 `next_state` implements the transitions, and `owed_status` returns the response owed at an end.
 """
@@ -81,6 +82,7 @@
     EVICTION = "another needed its place"
     SHUTDOWN = "the head ends"
     BAD_MESSAGE = "a malformed request"
+    OVERLOAD = "no memory was left for its request"
     INTERNAL_ERROR = "an error of the head"
     KILLED = "the process ended under it"
 
@@ -92,6 +94,7 @@
     ConnectionState.READING: {
         CloseCause.DEADLINE: HTTPStatus.REQUEST_TIMEOUT,
         CloseCause.SHUTDOWN: HTTPStatus.SERVICE_UNAVAILABLE,
+        CloseCause.OVERLOAD: HTTPStatus.SERVICE_UNAVAILABLE,
     },
     ConnectionState.HANDLING: {CloseCause.DEADLINE: HTTPStatus.REQUEST_TIMEOUT},
 }
--- a/fawnspool/gateway/attempt_results.py
+++ b/fawnspool/gateway/attempt_results.py
@@ -31,6 +31,7 @@
     BROKEN_WITHOUT_LENGTH = "broke in an answer without a length"
     MALFORMED_RESPONSE = "the answer is not HTTP"
     WRONG_LENGTH = "the answer has not the length it names"
+    NO_MEMORY = "no memory was left for its answer"
     RESPONSE_TIMEOUT = "no answer in time"
     CANCELLED = "called off after it was sent"
     CANCELLED_UNSENT = "called off before it was sent"
@@ -59,6 +60,7 @@
     AttemptEnding.BROKEN_WITHOUT_LENGTH: Result.RESET,
     AttemptEnding.MALFORMED_RESPONSE: Result.RESET,
     AttemptEnding.WRONG_LENGTH: Result.RESET,
+    AttemptEnding.NO_MEMORY: Result.CANCELLED,
     AttemptEnding.RESPONSE_TIMEOUT: Result.TIMED_OUT,
     AttemptEnding.CANCELLED: Result.CANCELLED,
     AttemptEnding.CANCELLED_UNSENT: Result.NOT_SENT,
--- a/fawnspool/gateway/attempts.py
+++ b/fawnspool/gateway/attempts.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass
 from typing import Protocol
 
+from fawnspool.connections.resource_budget import SMALL_MESSAGE_BYTES
 from fawnspool.gateway.attempt_results import AttemptEnding
 from fawnspool.gateway.request_state import ClientRequest, NodeAnswer, NodeAttempt, RequestState
 from fawnspool.net.client_connection import ClientConnection
@@ -22,6 +23,7 @@
     TrailingDataError,
 )
 from fawnspool.net.http import LAST_CHUNK, ResponseHead, format_chunk
+from fawnspool.net.memory_gate import MemoryGate, MemoryShortError
 
 _STREAMED_STATUSES = (200, 206)
 # Endings before any byte of a response arrived. After one on a reused connection, connections that were
@@ -84,11 +86,14 @@
         Returns whether new requests may no longer be sent to a node.
     on_stream_started
         Called when a response too large to hold in memory starts to be streamed to the client.
+    answer_memory
+        Memory for answers; None: it is not limited.
     """
 
     protocol: NodeProtocol
     is_withdrawn: Callable[[int], bool]
     on_stream_started: Callable[[ClientRequest, NodeAttempt], None]
+    answer_memory: MemoryGate[NodeAttempt] | None = None
 
 
 @dataclass(slots=True)
@@ -221,7 +226,7 @@
         self.attempt.sent = True
         try:
             if body.rest is None:
-                connection.send(head + body.start if body.start else head, deadline)
+                self._send_whole(connection, head, body.start, deadline)
             else:
                 self._stream_body(connection, head, deadline)
         except TimeoutError:
@@ -229,6 +234,14 @@
         except ConnectionLostError:
             raise self._connection_lost(AttemptEnding.UNWRITTEN_RESET, unsent=True) from None
 
+    def _send_whole(self, connection: ClientConnection, head: bytes, body: bytes, deadline: float) -> None:
+        """Send a request whose body is complete; a long one is not copied to join it with the head."""
+        if len(body) <= SMALL_MESSAGE_BYTES:
+            connection.send(head + body, deadline)
+            return
+        connection.send(head, deadline)
+        connection.send(body, deadline)
+
     def _stream_body(self, connection: ClientConnection, head: bytes, deadline: float) -> None:
         """Send a body while its rest is read from the client, which is possible only once."""
         body = self.request.body
@@ -285,7 +298,7 @@
         if large and head.length is not None:
             # The Content-Length exceeds the largest valid response, so the body is not read.
             raise _AttemptEndedError(AttemptEnding.WRONG_LENGTH)
-        body = self._read_body(connection)
+        body = self._read_body(connection, head)
         ending = protocol.ending(head)
         if ending is not AttemptEnding.ANSWERED:
             return ending
@@ -294,9 +307,14 @@
             return AttemptEnding.ANSWERED_UNTIL_CLOSE
         return ending
 
-    def _read_body(self, connection: ClientConnection) -> bytes:
+    def _read_body(self, connection: ClientConnection, head: ResponseHead) -> bytes:
+        reserve = self._hold_answer if self.hooks.answer_memory is not None else None
         try:
-            return connection.read_body(self.attempt.deadline, self.hooks.protocol.max_buffered_bytes)
+            if reserve is not None and head.length is not None:
+                reserve(head.length)
+            return connection.read_body(self.attempt.deadline, self.hooks.protocol.max_buffered_bytes, reserve)
+        except MemoryShortError:
+            raise _AttemptEndedError(AttemptEnding.NO_MEMORY) from None
         except TimeoutError:
             raise self._connection_lost(AttemptEnding.RESPONSE_TIMEOUT) from None
         except ConnectionLostError:
@@ -306,6 +324,11 @@
         except HttpError as error:
             raise _AttemptEndedError(_response_error_ending(error)) from None
 
+    def _hold_answer(self, size: int) -> None:
+        """Take memory for so many bytes of the answer, unless they are few. Raises MemoryShortError."""
+        if size > SMALL_MESSAGE_BYTES and self.hooks.answer_memory is not None:
+            self.hooks.answer_memory.hold(self.attempt, size, self.attempt.deadline)
+
     def _stream_response(self, connection: ClientConnection, head: ResponseHead) -> None:
         """Stream a large response to the client as it arrives, as fast as the client reads it."""
         request = self.request
@@ -337,6 +360,8 @@
 
     def _connection_lost(self, ending: AttemptEnding, unsent: bool = False) -> _AttemptEndedError:
         """Return the error for a lost connection: a cancellation instead of `ending` if that is what closed it."""
+        if self.attempt.is_shed:
+            return _AttemptEndedError(AttemptEnding.NO_MEMORY)
         if not self.attempt.cancelled:
             return _AttemptEndedError(ending)
         if unsent:
--- a/fawnspool/gateway/core.py
+++ b/fawnspool/gateway/core.py
@@ -14,6 +14,8 @@
 from dataclasses import replace
 from typing import Protocol
 
+from fawnspool.connections.memory_account import MemoryAccount
+from fawnspool.connections.resource_budget import SMALL_MESSAGE_BYTES
 from fawnspool.gateway.answer_reasons import reason_for_client, reason_label
 from fawnspool.gateway.attempt_results import RESULTS, AttemptEnding
 from fawnspool.gateway.attempts import AttemptHooks, AttemptOutcome, NodeProtocol, run_attempt
@@ -24,6 +26,7 @@
 from fawnspool.gateway.periodic_checks import Check, DisconnectDetector, PeriodicChecks
 from fawnspool.gateway.request_state import AnswerKind, ClientRequest, NodeAttempt, RequestState
 from fawnspool.net.connection_pool import PoolOptions
+from fawnspool.net.memory_gate import MemoryGate
 from fawnspool.net.socket_stream import observe_clocks
 from fawnspool.scheduling import interface
 from fawnspool.scheduling.timer_tokens import request_of_token
@@ -67,6 +70,10 @@
 
     Attributes
     ----------
+    answer_memory
+        Memory that nodes' answers take until their clients have them; None: it is not limited.
+    further_checks
+        Periodic checks of the edge.
     endpoints
         The node list; set by the edge after the core is created, as its client posts to the core's event loop, and
         before `start`.
@@ -85,7 +92,9 @@
         observability: Observability,
     ) -> None:
         self.settings = settings
+        self.answer_memory: MemoryGate[NodeAttempt] | None = None
         self.attempt_hooks = AttemptHooks(node_protocol, self._is_withdrawn, self._stream_started)
+        self.further_checks: list[Check] = []
         self.metrics = observability.metrics
         self.log = observability.log
         self.traces = observability.traces
@@ -110,6 +119,11 @@
         self.disconnects = DisconnectDetector(self.pending, self.abandon)
         self.checks = PeriodicChecks(self._periodic_checks, self.metrics, self.log)
 
+    def limit_answers(self, total_bytes: int) -> None:
+        """Limit the memory that nodes' answers take until their clients have them; called before `start`."""
+        self.answer_memory = MemoryGate(MemoryAccount(total_bytes, SMALL_MESSAGE_BYTES), NodeAttempt.shed)
+        self.attempt_hooks = replace(self.attempt_hooks, answer_memory=self.answer_memory)
+
     def start(self) -> None:
         """Start the event loop and the periodic checks."""
         self.loop.start()
@@ -122,7 +136,10 @@
         self.greenlets.stop()
 
     def _periodic_checks(self) -> Iterable[Check]:
-        return (observe_clocks, self.pools.prune, self.disconnects.check)
+        checks = [observe_clocks, self.pools.prune, self.disconnects.check, *self.further_checks]
+        if self.answer_memory is not None:
+            checks.append(self.answer_memory.check)
+        return checks
 
     def _ready_addresses(self) -> set[tuple[str, int]]:
         nodes = self.endpoints.nodes.values()
@@ -183,6 +200,11 @@
             self.loop.post(interface.ClientDisconnected(pending.request.id))
             self.loop.post(lambda: self._forget(pending))
 
+    def release_answer(self, pending: ClientRequest) -> None:
+        """Give back the memory of the answer that the client has been given."""
+        if self.answer_memory is not None and pending.answered_by is not None:
+            self.answer_memory.release(pending.answered_by)
+
     def answer_overdue(self, pending: ClientRequest) -> None:
         """Fail a request that the decision module did not answer in time, which is a fault of the module."""
         if pending.state is RequestState.OPEN:
@@ -260,13 +282,16 @@
         result = RESULTS[outcome.ending]
         self._count_attempt(pending, attempt, outcome)
         if result is interface.Result.SERVED:
-            pending.settle(AnswerKind.SERVED, outcome.answer)
+            if pending.settle(AnswerKind.SERVED, outcome.answer):
+                pending.answered_by = attempt
         elif pending.state is RequestState.STREAMING:
             client_left = outcome.ending is AttemptEnding.CLIENT_LEFT_STREAMING
             pending.settle(AnswerKind.CLIENT_LEFT if client_left else AnswerKind.FAILED)
         elif outcome.ending is AttemptEnding.BODY_INCOMPLETE and pending.settle(AnswerKind.CLIENT_LEFT):
             self.loop.post(interface.ClientDisconnected(pending.request.id))
         pending.open_attempts -= 1
+        if self.answer_memory is not None and pending.answered_by is not attempt:
+            self.answer_memory.release(attempt)
         self._forget(pending)
         feedback = outcome.feedback
         return interface.Outcome(
--- a/fawnspool/gateway/event_loop.py
+++ b/fawnspool/gateway/event_loop.py
@@ -133,7 +133,7 @@
         now = time.monotonic()
         while self.timers and self.timers[0][0] <= now:
             due, _, token = heapq.heappop(self.timers)
-            self.metrics.lag.add(now - due)
+            self.metrics.note_lag(now - due)
             self._handle(interface.Timer(token))
 
     def _sleep(self) -> None:
--- a/fawnspool/gateway/periodic_checks.py
+++ b/fawnspool/gateway/periodic_checks.py
@@ -45,7 +45,7 @@
         while True:
             due = time.monotonic() + CHECK_INTERVAL_S
             gevent.sleep(CHECK_INTERVAL_S)
-            self.metrics.lag.add(max(0.0, time.monotonic() - due))
+            self.metrics.note_lag(max(0.0, time.monotonic() - due))
             for check in self.checks():
                 self._run_check(check)
 
--- a/fawnspool/gateway/request_state.py
+++ b/fawnspool/gateway/request_state.py
@@ -99,6 +99,8 @@
         Time by which the request must be completely written; it is not sent after that.
     connection
         The connection that the attempt uses; None before and afterwards.
+    is_shed
+        The memory of its answer was needed for others.
     sent
         Writing the request has begun, so the node may have received some or all of it.
     ending
@@ -112,9 +114,16 @@
     write_by: float = math.inf
     connection: ClientConnection | None = None
     cancelled: bool = False
+    is_shed: bool = False
     sent: bool = False
     ending: AttemptEnding | None = None
 
+    def shed(self) -> None:
+        """End the attempt, as the memory of its answer is needed for others."""
+        self.is_shed = True
+        if self.connection is not None:
+            self.connection.close()  # wakes the attempt's greenlet
+
     @property
     def write_deadline(self) -> float:
         """The earlier of the two limits on writing the request."""
@@ -141,6 +150,8 @@
         Shard of the node whose answer was used.
     answer_headers
         Headers that every answer to this request carries.
+    answered_by
+        The attempt whose answer is used; it holds the answer's memory.
     done
         Set when the final answer is given.
     span
@@ -167,6 +178,7 @@
     open_attempts: int = 0
     served_by_shard: int | None = None
     answer_headers: list[tuple[bytes, bytes]] = field(default_factory=list)
+    answered_by: NodeAttempt | None = None
     done: WakeupEvent = field(default_factory=WakeupEvent)
     span: object | None = None
 
--- a/fawnspool/net/client_connection.py
+++ b/fawnspool/net/client_connection.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import time
+from collections.abc import Callable
 
 from fawnspool.net.body_buffer import BodyBuffer
 from fawnspool.net.exceptions import (
@@ -15,7 +16,7 @@
 from fawnspool.net.http import END_OF_MESSAGE, MessageEvent, MessageLimits, ResponseHead, ResponseParser
 from fawnspool.net.socket_stream import SocketStream
 
-_READ_BYTES = 262_144
+_READ_BYTES = 65_536
 _FRAMED_READ_BYTES = 32_768  # where bytes are parsed one by one: heads, and bodies without a Content-Length
 _LIMITS = MessageLimits(head_bytes=32768, headers=64)
 
@@ -100,13 +101,27 @@
         assert isinstance(event, bytes)
         return event
 
-    def read_body(self, deadline: float, max_bytes: int | None = None) -> bytes:
-        """Read the whole body. Raises the errors of `read_head`, and HttpError if there are more than `max_bytes`."""
+    def read_body(
+        self, deadline: float, max_bytes: int | None = None, reserve: Callable[[int], None] | None = None
+    ) -> bytes:
+        """Read the whole body. Raises the errors of `read_head`, and HttpError if there are more than `max_bytes`.
+
+        Parameters
+        ----------
+        deadline
+            Monotonic seconds.
+        max_bytes
+            Largest body; None: no limit.
+        reserve
+            Called with the number of bytes of the body so far before more are kept; may wait or raise.
+        """
         body = BodyBuffer()
         while (piece := self.read_piece(deadline)) is not None:
             body.append(piece)
             if max_bytes is not None and len(body) > max_bytes:
                 raise HttpError(502, f"response body is longer than {max_bytes} bytes")
+            if reserve is not None:
+                reserve(len(body))
         return body.take()
 
     def _next_event(self, deadline: float) -> MessageEvent:
--- a/fawnspool/net/exchange.py
+++ b/fawnspool/net/exchange.py
@@ -5,6 +5,7 @@
 from collections.abc import Iterator
 from typing import Protocol
 
+from fawnspool.connections.resource_budget import SMALL_MESSAGE_BYTES
 from fawnspool.connections.states import CloseCause, ConnectionEvent
 from fawnspool.net.exceptions import AnsweredTwiceError
 from fawnspool.net.http import (
@@ -17,11 +18,12 @@
     format_error_body,
     format_response_head,
 )
+from fawnspool.net.request_memory import RequestMemory
 from fawnspool.net.socket_stream import SocketStream
 
 JSON_HEADER = (b"Content-Type", b"application/json")
 _BODY_READ_BYTES = 262_144
-_CHUNKED_READ_BYTES = 32_768  # the framing of chunks is parsed byte by byte
+_CHUNKED_READ_BYTES = 16_384  # the framing of chunks is parsed byte by byte; memory is taken for so many at a time
 
 
 class ExchangeConnection(Protocol):
@@ -35,6 +37,8 @@
         The last response was sent before its request was completely read.
     flooded
         The client sent too many bytes after the request being handled.
+    memory
+        What the request takes of the server's memory for requests.
     """
 
     stream: SocketStream
@@ -42,6 +46,10 @@
     closing: bool
     request_cut: bool
     flooded: bool
+    memory: RequestMemory
+
+    def request_deadline(self) -> float:
+        """Return the time by which the request being read must be complete (monotonic seconds)."""
 
     def send(self, data: bytes) -> None:
         """Send all of `data`. Raises OSError."""
@@ -98,15 +106,22 @@
             The client disconnected.
         HttpError
             The framing is invalid.
+        MemoryShortError
+            There is no memory for the body.
         TimeoutError
             A piece did not arrive in time.
         """
         connection = self.connection
+        deadline = connection.request_deadline()
+        chunked = self.head.length is None
+        read_bytes = _CHUNKED_READ_BYTES if chunked else _BODY_READ_BYTES
+        connection.memory.hold_body(_CHUNKED_READ_BYTES if chunked else self.head.length or 0, deadline)
         if self.head.expects_continue and not self.answered and not self.body_bytes:
             self.head.expects_continue = False
             connection.send(CONTINUE)
-        read_bytes = _CHUNKED_READ_BYTES if self.head.length is None else _BODY_READ_BYTES
         while not self.request_read:
+            if chunked:
+                connection.memory.hold_body(self.body_bytes + _CHUNKED_READ_BYTES, deadline)
             event = connection.next_event(read_bytes)
             if event is END_OF_MESSAGE:
                 self.request_read = True
@@ -140,7 +155,11 @@
         self.connection.closing |= last
         head = format_response_head(status, headers, length, last)
         try:
-            self.connection.send(head + body if body else head)
+            if len(body) <= SMALL_MESSAGE_BYTES:
+                self.connection.send(head + body)
+            else:  # not copied to join it with the head
+                self.connection.send(head)
+                self.connection.send(body)
         except OSError:
             self.connection.closing = True
 
--- a/fawnspool/net/server.py
+++ b/fawnspool/net/server.py
@@ -148,9 +148,15 @@
         socket.wait_read(self.sock.fileno())
         if self.evict_waiting():
             return True
+        self._shed_oldest()
         gevent.sleep(_FULL_RETRY_S)
         return False
 
+    def _shed_oldest(self) -> bool:
+        """Refuse the request that has been arriving for longest; its connection is closed soon after."""
+        memory = self.options.request_memory
+        return memory is not None and memory.shed_oldest()
+
     def _start_connection(self, sock: Any) -> None:
         """Start to serve an accepted connection, or close it if the server is full."""
         if self._is_full() and not self.options.untrusted_clients:
@@ -166,6 +172,7 @@
         """Handle an accept error, which must never stop the server: free a descriptor or wait."""
         if error.errno in (errno.EMFILE, errno.ENFILE):
             if not self.options.untrusted_clients or not self.evict_waiting():
+                self._shed_oldest()
                 gevent.sleep(_FULL_RETRY_S)  # out of descriptors: wait for one to be closed
         elif error.errno != errno.ECONNABORTED:
             self.note_error(error)
--- a/fawnspool/net/server_connection.py
+++ b/fawnspool/net/server_connection.py
@@ -29,12 +29,13 @@
     format_response_head,
 )
 from fawnspool.net.lingering_close import await_acknowledged, discard_rest
+from fawnspool.net.memory_gate import MemoryShortError
+from fawnspool.net.request_memory import SHORT_READ_BYTES, RequestMemory
 from fawnspool.net.server_options import ServerOptions
 from fawnspool.net.socket_stream import SocketStream
 
 # An untrusted client is treated as disconnected when this many bytes after the request being handled are unread.
 FLOOD_BYTES = 32_768
-_HEAD_READ_BYTES = 65536
 _PARSED_AT_ONCE_BYTES = 1024  # so few requests behind the present one are parsed, as a head takes more parsed than not
 _MAX_LATE_START_S = 0.2  # a request without time left is throttled as others are, as rejecting it takes work too
 _LINE_END = b"\r\n"
@@ -43,6 +44,7 @@
     HTTPStatus.INTERNAL_SERVER_ERROR: "the server aborted the request",
     HTTPStatus.SERVICE_UNAVAILABLE: "the server is shutting down",
 }
+_OVERLOAD_REASON = "the server has no memory left for the request"
 
 
 class ConnectionOwner(Protocol):
@@ -113,6 +115,8 @@
         The last response was sent before its request was completely read.
     flooded
         The client sent too many bytes after the request being handled.
+    memory
+        What its present request takes of the server's memory for requests.
     """
 
     __slots__ = (
@@ -124,6 +128,7 @@
         "exchange",
         "flooded",
         "has_carried_request",
+        "memory",
         "number",
         "opened_at",
         "parser",
@@ -148,6 +153,7 @@
         self.peer_closed = False
         self.request_cut = False
         self.flooded = False
+        self.memory = RequestMemory(server.options.request_memory, stream)
         self._unparsed = b""  # bytes read together with the present request, which follow what is parsed
         self._request_deadline = math.inf  # the request being read must be complete by then
         self._started_in: int | None = None  # the loop's iteration in which the last request was started
@@ -158,6 +164,10 @@
         """Send all of `data`. Raises OSError if the connection broke or the peer reads nothing for `read_timeout_s`."""
         self.stream.sendall(data, time.monotonic() + self.server.options.read_timeout_s)
 
+    def request_deadline(self) -> float:
+        """Return the time by which the request being read must be complete (monotonic seconds)."""
+        return self._bounded(self._request_deadline)
+
     def next_event(self, read_bytes: int) -> MessageEvent:
         """Return the next event of the request being read.
 
@@ -167,6 +177,8 @@
             The client disconnected.
         HttpError
             The framing is invalid.
+        MemoryShortError
+            The memory that the request takes is needed for others.
         TimeoutError
             The event did not arrive in time.
         """
@@ -181,9 +193,11 @@
             try:
                 data = self.stream.recv(read_bytes, self._bounded(self._request_deadline, event_deadline))
             except TimeoutError:
+                self.memory.check_not_shed()
                 raise
             except OSError:
                 raise ClientDisconnectedError from None
+            self.memory.check_not_shed()
             if not data:
                 raise ClientDisconnectedError
             if time.monotonic() > self._request_deadline:
@@ -258,6 +272,7 @@
             self.note_cause(CloseCause.KILLED)
             self._send_owed_response()
         finally:
+            self.memory.release()
             self.server.note_end(self)
             self.note_event(ConnectionEvent.ENDED)
             self._close()
@@ -265,6 +280,8 @@
 
     def note_event(self, event: ConnectionEvent) -> None:
         """Change to the next state."""
+        if event is ConnectionEvent.REQUEST_COMPLETE:
+            self.memory.complete()
         self.state = next_state(self.state, event)
 
     def note_cause(self, cause: CloseCause) -> None:
@@ -275,28 +292,11 @@
     def _next_request(self) -> Exchange | None:
         """Read the next request's head and begin its exchange. None: there is no request and the connection ends."""
         self.exchange = None
-        events = self.parser.events
-        began_at: float | None = None  # when the request's first bytes arrived
-        if self.has_carried_request:
-            self.note_event(ConnectionEvent.REQUEST_AWAITED)
-        if self._has_begun_request():
-            self.note_event(ConnectionEvent.REQUEST_BEGAN)
-            began_at = time.monotonic()
-        else:
-            self._unparsed = b""  # line ends, which may come before a request
         try:
-            self._parse()
-            while not events:
-                data, arrived_at = self._read_head_piece(began_at)
-                if not data:
-                    self.peer_closed = True
-                    self.note_cause(CloseCause.PEER_CLOSED)
-                    return None
-                if began_at is None:
-                    began_at = arrived_at
-                self.note_event(ConnectionEvent.REQUEST_BEGAN)
-                self._unparsed = data
-                self._parse()
+            began_at = self._read_head()
+        except MemoryShortError:
+            self._refuse_for_memory()
+            return None
         except TimeoutError:
             self.note_cause(CloseCause.SHUTDOWN if self.server.draining else CloseCause.DEADLINE)
             self._send_owed_response()
@@ -304,11 +304,39 @@
         except HttpError as error:
             self._reject(error)
             return None
-        head = events.popleft()
+        if began_at is None:
+            self.peer_closed = True
+            self.note_cause(CloseCause.PEER_CLOSED)
+            return None
+        head = self.parser.events.popleft()
         if not isinstance(head, RequestHead):
             self.note_cause(CloseCause.BAD_MESSAGE)
             return None
-        return self._begin_exchange(head, time.monotonic() if began_at is None else began_at)
+        return self._begin_exchange(head, began_at)
+
+    def _read_head(self) -> float | None:
+        """Read until the next request's head is complete, and return when it began; None: the client closed first."""
+        began_at: float | None = None
+        if self.has_carried_request:
+            self.note_event(ConnectionEvent.REQUEST_AWAITED)
+        if self._has_begun_request():
+            self.note_event(ConnectionEvent.REQUEST_BEGAN)
+            self.memory.begin_next(len(self._unparsed))
+            began_at = time.monotonic()
+        else:
+            self.memory.release()
+            self._unparsed = b""  # line ends, which may come before a request
+        self._parse()
+        while not self.parser.events:
+            data, arrived_at = self._read_head_piece(began_at)
+            if not data:
+                return None
+            if began_at is None:
+                began_at = arrived_at
+            self.note_event(ConnectionEvent.REQUEST_BEGAN)
+            self._unparsed = data
+            self._parse()
+        return time.monotonic() if began_at is None else began_at
 
     def _read_head_piece(self, began_at: float | None) -> tuple[bytes, float]:
         """Return bytes of a request's head and when they arrived.
@@ -320,11 +348,16 @@
         """
         if began_at is None:
             return self._await_request()
-        deadline = self._bounded(began_at + self.server.options.read_timeout_s)
-        return self.stream.recv_stamped(_HEAD_READ_BYTES, deadline)
+        options = self.server.options
+        deadline = self._bounded(began_at + options.read_timeout_s)
+        self.memory.hold_head(options.limits.unfinished_bytes(), deadline)
+        try:
+            return self.stream.recv_stamped(SHORT_READ_BYTES, deadline)
+        finally:
+            self.memory.check_not_shed()  # also ahead of the end of a wait that shedding has ended
 
     def _await_request(self) -> tuple[bytes, float]:
-        """Wait for a request to begin; until then the server may evict the connection."""
+        """Wait for a request to begin; until then the server may evict the connection. Raises MemoryShortError."""
         options = self.server.options
         if self.has_carried_request:
             waiting = self.server.idle
@@ -332,11 +365,25 @@
         else:
             waiting = self.server.new
             timeout_s = options.first_request_timeout_s
-        waiting[self] = None
-        try:
-            return self.stream.recv_stamped(_HEAD_READ_BYTES, self._bounded(time.monotonic() + timeout_s))
-        finally:
-            waiting.pop(self, None)
+        deadline = self._bounded(time.monotonic() + timeout_s)
+        while True:
+            waiting[self] = None
+            try:
+                self.stream.await_readable(deadline)
+            finally:
+                waiting.pop(self, None)
+            try:
+                return self._read_first_piece()
+            except BlockingIOError:
+                self.memory.release()
+
+    def _read_first_piece(self) -> tuple[bytes, float]:
+        """Read the first bytes of a request, or the end of the stream, once there is memory for them."""
+        deadline = self._bounded(time.monotonic() + self.server.options.read_timeout_s)
+        read_bytes = self.memory.begin(deadline)
+        piece = self.stream.recv_stamped_now(read_bytes)
+        self.memory.note_read(len(piece[0]))
+        return piece
 
     def _begin_exchange(self, head: RequestHead, arrived_at: float) -> Exchange:
         """Create the exchange of a request whose head is complete, and wait for the throttle."""
@@ -366,6 +413,8 @@
             self.server.handler(exchange)
         except HttpError as error:
             self._reject(error)
+        except MemoryShortError:
+            self._refuse_for_memory()
         except TimeoutError:
             is_shutdown = self.server.shutdown_deadline <= time.monotonic()
             self.note_cause(CloseCause.SHUTDOWN if is_shutdown else CloseCause.DEADLINE)
@@ -401,6 +450,18 @@
         self.server.note_rejected(error)
         self._send_error(error.status, "bad-request", error.text)
 
+    def _refuse_for_memory(self) -> None:
+        """Refuse a request that was not read completely, and mark the connection as closing."""
+        if self.state in (ConnectionState.NEW, ConnectionState.IDLE):
+            self.note_event(ConnectionEvent.REQUEST_BEGAN)
+        self.note_cause(CloseCause.OVERLOAD)
+        self.closing = True
+        self.memory.release()
+        status = owed_status(self.state, CloseCause.OVERLOAD)
+        if status is not None:
+            self.server.note_rejected(HttpError(status, _OVERLOAD_REASON))
+            self._send_error(status, "refused", _OVERLOAD_REASON)
+
     def _send_error(self, status: int, error_code: str, reason: str) -> None:
         exchange = self.exchange
         if exchange is not None:
@@ -410,13 +471,17 @@
         self.note_event(ConnectionEvent.RESPONSE_BEGAN)
         self.request_cut = exchange is None or not exchange.request_read
         body = format_error_body(error_code, reason)
+        headers = [JSON_HEADER]
+        retry_after_s = self.server.options.retry_after_s
+        if status == HTTPStatus.SERVICE_UNAVAILABLE and retry_after_s:
+            headers.append((b"Retry-After", b"%.3f" % retry_after_s))
         with contextlib.suppress(OSError):
-            self.send(format_response_head(status, [JSON_HEADER], len(body), close=True) + body)
+            self.send(format_response_head(status, headers, len(body), close=True) + body)
 
     def _close(self) -> None:
         try:
             if not self.stream.closed and not self.peer_closed:
-                if self.request_cut:
+                if self.request_cut and self.cause is not CloseCause.OVERLOAD:
                     discard_rest(self.stream)
                 else:
                     await_acknowledged(self.stream)
--- a/fawnspool/net/server_options.py
+++ b/fawnspool/net/server_options.py
@@ -5,6 +5,8 @@
 from dataclasses import dataclass, field
 
 from fawnspool.net.http import MessageLimits
+from fawnspool.net.memory_gate import MemoryGate
+from fawnspool.net.request_memory import RequestMemory
 
 
 @dataclass(slots=True)
@@ -29,6 +31,10 @@
         Enforce stricter rules: a whole request must arrive within `read_timeout_s`; if `max_connections` are open, the
         connection that has waited longest without a request is evicted; and a client that sends too many bytes while
         its request is being handled is treated as disconnected.
+    request_memory
+        Memory that requests take from their first byte to their answer; None: it is not limited.
+    retry_after_s
+        Advice to clients whose requests are refused for want of memory; 0: none.
     crowded_from
         While at least this many connections are open, each response ends its connection; None: there is no
         such limit.
@@ -42,3 +48,5 @@
     max_starts_per_iteration: int | None = None
     untrusted_clients: bool = False
     crowded_from: int | None = None
+    request_memory: MemoryGate[RequestMemory] | None = None
+    retry_after_s: float = 0.0
--- a/fawnspool/net/socket_stream.py
+++ b/fawnspool/net/socket_stream.py
@@ -92,13 +92,17 @@
         The time is the kernel's timestamp, so that it is also right for bytes that arrived while the process was
         stopped or busy.
         """
-        self._wait_readable(deadline)
+        self.await_readable(deadline)
         while True:
             try:
                 return self.recv_stamped_now(size)
             except BlockingIOError:
                 self._wait_readable(deadline)
 
+    def await_readable(self, deadline: float) -> None:
+        """Return to the event loop until bytes or the end of the stream can be read."""
+        self._wait_readable(deadline)
+
     def recv_stamped_now(self, size: int) -> tuple[bytes, float]:
         """Read bytes that have arrived, with their arrival time. Raises BlockingIOError if there are none."""
         try:
--- a/fawnspool/relay/config.py
+++ b/fawnspool/relay/config.py
@@ -17,9 +17,9 @@
 _LISTEN_VARIABLE = "RELAY_LISTEN"
 _DISCOVERY_VARIABLE = "RELAY_DISCOVERY"
 _DEFAULT_DESCRIPTORS = 1024
-_DEFAULT_MEMORY_MIB = 192
+_DEFAULT_MEMORY_MB = 192
 _DEFAULT_NODE_IDLE_TIMEOUT_S = 15.0
-_BYTES_PER_MIB = 2**20
+_BYTES_PER_MB = 1_000_000  # the smaller reading, as the platform kills what exceeds its own
 _PORTS = range(1, 65536)
 
 
@@ -104,7 +104,7 @@
         discovery=_address(path, "discovery", tree.get("discovery") or environ.get(_DISCOVERY_VARIABLE)),
         seed=_seed(path, tree.get("seed", 0)),
         max_descriptors=int(process_limits.get("sockets", _DEFAULT_DESCRIPTORS)),
-        memory_bytes=int(float(process_limits.get("memory_mb", _DEFAULT_MEMORY_MIB)) * _BYTES_PER_MIB),
+        memory_bytes=int(float(process_limits.get("memory_mb", _DEFAULT_MEMORY_MB)) * _BYTES_PER_MB),
         known_endpoints=known if isinstance(known, dict) else {},
         settings=read_tree(settings),
         zones=_names(settings, "localities"),
--- a/fawnspool/relay/process.py
+++ b/fawnspool/relay/process.py
@@ -14,6 +14,7 @@
 from fawnspool.connections.config_reload import retry_delay_s
 from fawnspool.connections.descriptor_limits import divide_descriptors
 from fawnspool.connections.idle_timeouts import NODE_COOLDOWN_S, NODE_IDLE_FRACTION
+from fawnspool.connections.resource_budget import AT_REST_BYTES, divide_resources
 from fawnspool.gateway.core import GatewayCore
 from fawnspool.gateway.observability import Observability
 from fawnspool.net.connection_pool import PoolOptions
@@ -23,10 +24,19 @@
 from fawnspool.relay.graceful_shutdown import GracefulShutdown
 from fawnspool.relay.node_client import RelayNodeProtocol
 from fawnspool.relay.request_handler import RequestHandler
-from fawnspool.relay.snapshots import CounterSnapshot, LogFields, NodeSnapshot, changes, count_now, nodes_now
+from fawnspool.relay.snapshots import (
+    CounterSnapshot,
+    LogFields,
+    MemorySnapshot,
+    NodeSnapshot,
+    changes,
+    count_now,
+    nodes_now,
+)
 from fawnspool.scheduling.scheduler import Scheduler
 from fawnspool.telemetry import logs
 from fawnspool.telemetry.counters import GatewayCounters
+from fawnspool.telemetry.process_memory import resident_bytes
 
 STATE_LOG_INTERVAL_S = 5.0
 _DEFAULT_CONNECT_TIMEOUT_S = 0.25
@@ -53,6 +63,7 @@
         self.log = logs.get(head=config.name)
         settings = config.settings
         connection_limits = divide_descriptors(config.max_descriptors, settings.shard_count)
+        self.budget = divide_resources(config.memory_bytes, resident_bytes() or AT_REST_BYTES, connection_limits)
         self.scheduler = Scheduler(settings, config.seed)
         self.counters = GatewayCounters()
         self.core = GatewayCore(
@@ -69,6 +80,7 @@
             ),
             Observability(self.counters, self.log),
         )
+        self.core.limit_answers(self.budget.answers)
         self.discovery = DiscoveryClient(
             config.discovery,
             EndpointNames(config.zones, config.node_kinds),
@@ -78,7 +90,8 @@
         )
         self.discovery.wait_until_handled = self.core.loop.wait_until_handled
         self.core.endpoints = self.discovery
-        self.handler = RequestHandler(self.core, settings, config.listen, connection_limits, config.memory_bytes)
+        self.handler = RequestHandler(self.core, settings, config.listen, self.budget)
+        self.core.further_checks.append(self.handler.request_memory.check)
         longest_deadline_s = max(request_class.deadline_s for request_class in settings.classes)
         self.shutdown = GracefulShutdown(self.handler, longest_deadline_s, self.log)
         self.ended = Event()
@@ -110,6 +123,21 @@
         """Return the scheduler's view of its nodes."""
         return nodes_now(self.scheduler)
 
+    def memory(self) -> MemorySnapshot:
+        """Return what the process holds."""
+        requests, answers = self.handler.request_memory, self.core.answer_memory
+        assert answers is not None
+        return MemorySnapshot(
+            resident_bytes=resident_bytes(),
+            request_bytes=requests.account.used_bytes,
+            request_peak_bytes=requests.account.peak_bytes,
+            answer_bytes=answers.account.used_bytes,
+            answer_peak_bytes=answers.account.peak_bytes,
+            refused=requests.refused + answers.refused,
+            shed=requests.shed_count + answers.shed_count,
+            volumes=len(self.scheduler.rate_limits.limiters),
+        )
+
     def _log_states(self) -> None:
         """Periodically log the gateway's totals and its view of nodes, for comparison with its peers' observations."""
         previous: LogFields = {}
@@ -122,9 +150,12 @@
                 in_hand=len(self.handler.open),
                 to_shelfs=self.core.pools.open_connections(),
                 **changes(current, previous),
+                worst_lag_s=round(self.counters.worst_lag_s, 4),
+                **self.memory().log_fields(),
                 nodes=[node.text() for node in self.nodes()],
             )
             previous = current
+            self.counters.worst_lag_s = 0.0
 
     # ------------------------------------------------------------ descriptors and signals
 
--- a/fawnspool/relay/request_handler.py
+++ b/fawnspool/relay/request_handler.py
@@ -13,9 +13,9 @@
 import time
 from dataclasses import dataclass
 
-from fawnspool.connections.body_limits import admits_long_body
-from fawnspool.connections.descriptor_limits import ConnectionLimits
 from fawnspool.connections.idle_timeouts import CLIENT_IDLE_TIMEOUT_S, REQUEST_TIMEOUT_S
+from fawnspool.connections.memory_account import MemoryAccount
+from fawnspool.connections.resource_budget import REQUEST_BYTES, SMALL_MESSAGE_BYTES, ResourceBudget
 from fawnspool.gateway.answer_reasons import reason_for_client
 from fawnspool.gateway.core import GatewayCore
 from fawnspool.gateway.request_state import AnswerKind, ClientRequest, RequestBody
@@ -23,10 +23,12 @@
 from fawnspool.net.exceptions import HttpError
 from fawnspool.net.exchange import Exchange
 from fawnspool.net.http import MessageLimits, RequestHead
+from fawnspool.net.memory_gate import MemoryGate
+from fawnspool.net.request_memory import RequestMemory
 from fawnspool.net.server import Server, ServerCallbacks
 from fawnspool.net.server_connection import ServerConnection
 from fawnspool.net.server_options import ServerOptions
-from fawnspool.relay.node_client import MAX_BODY_BYTES, USUAL_BODY_BYTES
+from fawnspool.relay.node_client import MAX_BODY_BYTES
 from fawnspool.scheduling.interface import Idempotence, Request, RequestClass, Settings
 
 HEALTH_TARGET = b"/_health"
@@ -52,61 +54,20 @@
     gateway_count: int
 
 
-class LongBodyMemory:
-    """Limits the memory of request bodies longer than usual, as clients control how many of them arrive at once.
-
-    Parameters
-    ----------
-    total_bytes
-        Memory that the gateway may use in all.
-    """
-
-    def __init__(self, total_bytes: int) -> None:
-        self.total_bytes = total_bytes
-        self.by_exchange: dict[Exchange, int] = {}
-        self.used_bytes = 0
-
-    def reserve(self, exchange: Exchange, size: int) -> None:
-        """Reserve memory for a body of `size` bytes in all, if it is longer than usual.
-
-        Raises
-        ------
-        HttpError
-            Too much memory is reserved already.
-        """
-        additional = size - self.by_exchange.get(exchange, 0)
-        if size <= USUAL_BODY_BYTES or additional <= 0:
-            return
-        if not admits_long_body(additional, self.used_bytes, self.total_bytes):
-            raise HttpError(503, "too many long request bodies at once")
-        self.by_exchange[exchange] = size
-        self.used_bytes += additional
-
-    def release(self, exchange: Exchange) -> None:
-        """Release the memory reserved for a request."""
-        self.used_bytes -= self.by_exchange.pop(exchange, 0)
-
-
 class RequestHandler:
     """Serves the platform's clients on `listen`.
 
     Parameters
     ----------
-    memory_bytes
-        Memory that the gateway may use in all.
+    budget
+        What connections and requests may use.
     """
 
-    def __init__(
-        self,
-        core: GatewayCore,
-        settings: Settings,
-        listen: tuple[str, int],
-        limits: ConnectionLimits,
-        memory_bytes: int,
-    ) -> None:
+    def __init__(self, core: GatewayCore, settings: Settings, listen: tuple[str, int], budget: ResourceBudget) -> None:
         self.core = core
         self.settings = settings
-        self.long_bodies = LongBodyMemory(memory_bytes)
+        account = MemoryAccount[RequestMemory](budget.requests, REQUEST_BYTES + SMALL_MESSAGE_BYTES)
+        self.request_memory = MemoryGate(account, RequestMemory.shed)
         self.class_indexes = {
             request_class.name.encode(): index for index, request_class in enumerate(settings.classes)
         }
@@ -121,10 +82,12 @@
                 idle_timeout_s=CLIENT_IDLE_TIMEOUT_S,
                 first_request_timeout_s=REQUEST_TIMEOUT_S,
                 read_timeout_s=REQUEST_TIMEOUT_S,
-                max_connections=limits.clients,
+                max_connections=budget.connections,
                 max_starts_per_iteration=MAX_REQUESTS_PER_ITERATION,
                 untrusted_clients=True,
-                crowded_from=limits.crowded_from,
+                crowded_from=budget.crowded_from,
+                request_memory=self.request_memory,
+                retry_after_s=settings.max_retry_after_s if settings.sends_retry_after else 0.0,
             ),
             ServerCallbacks(
                 on_error=self._on_error,
@@ -179,11 +142,7 @@
             return
         if head.length is not None and head.length > MAX_BODY_BYTES:
             raise _body_too_long()
-        try:
-            self.long_bodies.reserve(exchange, head.length or 0)
-            self._serve(exchange)
-        finally:
-            self.long_bodies.release(exchange)
+        self._serve(exchange)
 
     def _serve(self, exchange: Exchange) -> None:
         request = self._read_request(exchange)
@@ -199,7 +158,10 @@
             self.core.wait_for_answer(pending, grace_s=margin_s / 2, streaming_s=0.0)
         finally:
             del self.open[request_id]
-        self._finish(pending, exchange)
+        try:
+            self._finish(pending, exchange)
+        finally:
+            self.core.release_answer(pending)
 
     def _make_client_request(self, exchange: Exchange, request: Request, body: bytes, margin_s: float) -> ClientRequest:
         head = exchange.head
@@ -296,7 +258,6 @@
             body.append(piece)
             if exchange.body_bytes > MAX_BODY_BYTES:
                 raise _body_too_long()
-            self.long_bodies.reserve(exchange, exchange.body_bytes)
         return body.take()
 
     def _finish(self, pending: ClientRequest, exchange: Exchange) -> None:
--- a/fawnspool/relay/snapshots.py
+++ b/fawnspool/relay/snapshots.py
@@ -12,6 +12,7 @@
 from fawnspool.telemetry.counters import GatewayCounters
 
 _MS_PER_S = 1000
+_BYTES_PER_MB = 1_000_000
 _CLOSED_PREFIX = "closed "
 
 LogFields = dict[str, float]
@@ -110,6 +111,47 @@
     }
 
 
+@dataclass(frozen=True)
+class MemorySnapshot:
+    """What the process holds, and of which share.
+
+    Attributes
+    ----------
+    resident_bytes
+        Resident memory; 0 if the system does not report it.
+    request_bytes, request_peak_bytes
+        What requests hold now, and the most that they held.
+    answer_bytes, answer_peak_bytes
+        The same of nodes' answers.
+    refused, shed
+        Requests and answers that got no memory in time, and those that were ended for others, since the start.
+    volumes
+        Number of volumes remembered.
+    """
+
+    resident_bytes: int
+    request_bytes: int
+    request_peak_bytes: int
+    answer_bytes: int
+    answer_peak_bytes: int
+    refused: int
+    shed: int
+    volumes: int
+
+    def log_fields(self) -> LogFields:
+        """Return the figures by their log names; sizes in MB of 1,000,000 bytes."""
+        return {
+            "resident_mb": round(self.resident_bytes / _BYTES_PER_MB, 1),
+            "requests_mb": round(self.request_bytes / _BYTES_PER_MB, 2),
+            "requests_peak_mb": round(self.request_peak_bytes / _BYTES_PER_MB, 2),
+            "answers_mb": round(self.answer_bytes / _BYTES_PER_MB, 2),
+            "answers_peak_mb": round(self.answer_peak_bytes / _BYTES_PER_MB, 2),
+            "refused_for_memory": self.refused,
+            "shed_for_memory": self.shed,
+            "volumes": self.volumes,
+        }
+
+
 @dataclass(frozen=True)
 class NodeSnapshot:
     """The scheduler's view of one node."""
--- a/fawnspool/telemetry/counters.py
+++ b/fawnspool/telemetry/counters.py
@@ -49,6 +49,8 @@
         Malformed requests by status.
     lag
         Delays of the gateway's event loop, in seconds.
+    worst_lag_s
+        The longest of these delays since it was last reset.
     overdue
         Requests that the gateway failed itself, as the decision module had given no answer in time.
     """
@@ -66,10 +68,16 @@
         self.recordings_stopped = 0
         self.bad_requests: dict[int, int] = {}
         self.lag = Histogram()
+        self.worst_lag_s = 0.0
         self.bytes_in = 0
         self.bytes_out = 0
         self.overdue = 0
 
+    def note_lag(self, seconds: float) -> None:
+        """Count a delay of the event loop."""
+        self.lag.add(seconds)
+        self.worst_lag_s = max(self.worst_lag_s, seconds)
+
     def request(self, class_name: str, plan_name: str, outcome: str) -> None:
         """Count a request whose answer was sent."""
         key = (class_name, plan_name, outcome)
--- a/tests/e2e/test_freed_memory.py
+++ b/tests/e2e/test_freed_memory.py
@@ -74,6 +74,18 @@
     assert unreachable_after(rig, lambda number: send_and_close(rig, CLIENT_INPUT[case], number)) < CONNECTIONS
 
 
+def test_evicted_connection_leaves_nothing_to_the_cycle_collector(rig: RelayRig) -> None:
+    """Guards against a crowd that is evicted again and again: each connection left its parser and socket."""
+
+    def connect_and_evict(number: int) -> None:
+        sock: Any = rig.raw(b"")
+        wait_for(lambda: rig.program.handler.server.new)
+        assert rig.program.free_descriptor()
+        sock.close()
+
+    assert unreachable_after(rig, connect_and_evict) < CONNECTIONS
+
+
 @pytest.mark.parametrize("case", NODE_RESPONSES)
 def test_discarded_node_connection_leaves_nothing_to_the_cycle_collector(rig: RelayRig, case: str) -> None:
     """Guards against the same for the connections to nodes, which a spoilt response ends."""
--- a/tests/e2e/test_hard_cases.py
+++ b/tests/e2e/test_hard_cases.py
@@ -105,6 +105,7 @@
         AttemptEnding.TRUNCATED_RESPONSE,
         AttemptEnding.MALFORMED_RESPONSE,
         AttemptEnding.WRONG_LENGTH,
+        AttemptEnding.NO_MEMORY,
         AttemptEnding.RESPONSE_TIMEOUT,
         AttemptEnding.BROKEN_WITHOUT_LENGTH,
         AttemptEnding.ANSWERED_UNTIL_CLOSE,
