Bound what is remembered of volumes, queued requests and the retry budget

Cause: three tables that nothing shortened in time. scheduling/rate_limits.py forgot volumes only in the check of the queues, which refused requests do not schedule, and 4,096 of them were more than the memory; fair_queue.py kept each volume for 30 s at each node; retries.py shortened the record of requests only when a request was retried; gateway/event_loop.py kept a timer for each request that was queued until its client's time was over.

Why it works: the number of volumes is a share of the budget. A volume is a newcomer until its second request, newcomers have a quarter of the places and push out each other as they arrive, so volumes that come again are kept. A node's queue has its part of the places beside the volumes in use. Timers of ended requests are dropped once they are most of all.

--- a/fawnspool/gateway/core.py
+++ b/fawnspool/gateway/core.py
@@ -116,6 +116,7 @@
             interface.FetchEndpoints: self._fetch_endpoints,
         }
         self.loop = EventLoop(module, self.action_handlers, self._on_module_error, observability)
+        self.loop.is_timer_needed = self._is_timer_needed
         self.disconnects = DisconnectDetector(self.pending, self.abandon)
         self.checks = PeriodicChecks(self._periodic_checks, self.metrics, self.log)
 
@@ -359,6 +360,10 @@
         pending.settle(kind)
         self._forget(pending)
 
+    def _is_timer_needed(self, token: int) -> bool:
+        request_id = request_of_token(token)
+        return request_id is None or request_id in self.pending
+
     def _on_module_error(self, event: interface.Event) -> None:
         """Fail the request on whose event the module raised, because it still needs its final answer."""
         if isinstance(event, interface.Request | interface.Outcome | interface.ClientDisconnected):
--- a/fawnspool/gateway/event_loop.py
+++ b/fawnspool/gateway/event_loop.py
@@ -22,6 +22,7 @@
 
 _MAX_EVENTS_PER_ITERATION = 64  # then due timers are handled, even if more events are queued
 _MAX_TURN_S = 0.005  # so long events are handled before timers and other greenlets have their turn
+_MIN_TIMERS_TO_COMPACT = 1024
 _STOP_TIMEOUT_S = 1.0
 _MAX_LOGGED_ACTION_CHARS = 200
 
@@ -49,6 +50,11 @@
         Called with the event on which the module raised, after its actions have been executed.
     observability
         The outputs of the gateway; the loop closes the recorder.
+
+    Attributes
+    ----------
+    is_timer_needed
+        Returns whether the module still needs the timer of a token; timers it does not need may be dropped.
     """
 
     def __init__(
@@ -67,6 +73,8 @@
         self.inbox: deque[interface.Event | EventFactory] = deque()
         self.timers: list[tuple[float, int, int]] = []  # due time, sequence number, token
         self.timers_set = 0
+        self.is_timer_needed: Callable[[int], bool] = lambda token: True
+        self._compact_timers_from = _MIN_TIMERS_TO_COMPACT
         self.wake = WakeupEvent()
         self.asleep = False
         self.stopping = False
@@ -101,8 +109,17 @@
     def set_timer(self, delay_s: float, token: int) -> None:
         """Pass `Timer(token)` to the module after `delay_s` seconds."""
         self.timers_set += 1
+        self._compact_timers()
         heapq.heappush(self.timers, (time.monotonic() + max(0.0, delay_s), self.timers_set, token))
 
+    def _compact_timers(self) -> None:
+        """Drop the timers of requests that have ended once they are most of all timers."""
+        if len(self.timers) < self._compact_timers_from:
+            return
+        self.timers = [timer for timer in self.timers if self.is_timer_needed(timer[2])]
+        heapq.heapify(self.timers)
+        self._compact_timers_from = max(_MIN_TIMERS_TO_COMPACT, 2 * len(self.timers))
+
     def run(self) -> None:
         """Handle events and timers until `stop`."""
         while not self.stopping:
--- a/fawnspool/relay/process.py
+++ b/fawnspool/relay/process.py
@@ -64,7 +64,7 @@
         settings = config.settings
         connection_limits = divide_descriptors(config.max_descriptors, settings.shard_count)
         self.budget = divide_resources(config.memory_bytes, resident_bytes() or AT_REST_BYTES, connection_limits)
-        self.scheduler = Scheduler(settings, config.seed)
+        self.scheduler = Scheduler(settings, config.seed, self.budget.volumes)
         self.counters = GatewayCounters()
         self.core = GatewayCore(
             settings,
--- a/fawnspool/scheduling/fair_queue.py
+++ b/fawnspool/scheduling/fair_queue.py
@@ -55,6 +55,8 @@
         By volume; the least recently used first.
     active : dict of int to VolumeQueue
         Volumes with requests queued or in flight.
+    max_volumes : int or None
+        Number of volumes remembered, beside those with requests queued or in flight; None: no limit but by time.
     queued, queued_units
         Number of queued requests, and the sum of their units.
     earliest_due_at : float
@@ -67,6 +69,7 @@
 
     volumes: OrderedDict[int, VolumeQueue] = field(default_factory=OrderedDict)
     active: dict[int, VolumeQueue] = field(default_factory=dict)
+    max_volumes: int | None = None
     queued: int = 0
     queued_units: float = 0.0
     earliest_due_at: float = 0.0
@@ -93,7 +96,11 @@
         self._forget_idle_volumes(now)
 
     def _forget_idle_volumes(self, now: float) -> None:
-        while (oldest := next(iter(self.volumes.values()))).last_used_at < now - IDLE_VOLUME_S and not oldest.in_flight:
+        while self.volumes:
+            oldest = next(iter(self.volumes.values()))
+            is_surplus = self.max_volumes is not None and len(self.volumes) > self.max_volumes
+            if oldest.in_flight or oldest.requests or not (is_surplus or oldest.last_used_at < now - IDLE_VOLUME_S):
+                break
             self.volumes.popitem(last=False)
 
     def remove(self, pending: PendingRequest) -> None:
--- a/fawnspool/scheduling/rate_limits.py
+++ b/fawnspool/scheduling/rate_limits.py
@@ -10,6 +10,7 @@
 
 from collections import OrderedDict, deque
 from dataclasses import dataclass, field
+from itertools import islice
 from random import Random
 
 from fawnspool.scheduling.fair_queue import IDLE_VOLUME_S
@@ -29,7 +30,8 @@
 TRANSFER_VALIDITY_FRACTION = 0.95  # part of the transfer window for which a grant is valid, as clock rates differ
 LENDERS_ASKED = 2  # gateways that are asked for units at the same time
 MIN_GRANT_UNITS = 1.0
-MAX_VOLUMES = 4096  # number of volumes remembered, even if none is idle
+MAX_VOLUMES = 4096  # number of volumes remembered, even if none is idle, unless the caller sets another
+NEWCOMERS_DIVISOR = 4  # of these, the part for volumes that have sent one request only
 MIN_METERED_UNITS_PER_S = 1e-9  # avoids a division by 0
 
 
@@ -139,16 +141,47 @@
     ----------
     recorded_since : float
         Time since which this gateway's record is complete: its first event, or later if a volume was forgotten.
+    max_volumes : int
+        Number of volumes remembered, even if none is idle.
     """
 
     def __init__(self, settings: Settings, least_objective_s: float, check_interval_s: float, random: Random) -> None:
         self._settings = settings
+        self.max_volumes = MAX_VOLUMES
+        self._newcomers: OrderedDict[int, None] = OrderedDict()  # volumes that have sent one request; oldest first
         self._transfer_window_s = least_objective_s
         self._check_interval_s = check_interval_s
         self._random = random
         self.limiters: OrderedDict[int, RateLimiter] = OrderedDict()
         self.recorded_since = 0.0
 
+    def record_request(self, pending: PendingRequest, now: float) -> RateLimiter:
+        """Return the limiter of the volume of a request that has just arrived, see `limiter`.
+
+        Volumes that never come again must not push out those that do, so a volume is a newcomer until its second
+        request, and newcomers push out each other.
+        """
+        volume_id = pending.request.volume
+        if volume_id in self.limiters:
+            self._newcomers.pop(volume_id, None)
+            return self.limiter(pending, now)
+        limiter = self.limiter(pending, now)
+        self._newcomers[volume_id] = None
+        self._forget_surplus_newcomers()
+        return limiter
+
+    def _forget_surplus_newcomers(self) -> None:
+        """Forget the oldest newcomers beyond their part, except for those that have requests queued."""
+        surplus = len(self._newcomers) - max(1, self.max_volumes // NEWCOMERS_DIVISOR)
+        for volume_id in list(islice(self._newcomers, max(0, surplus))):
+            if self.limiters[volume_id].queued_units <= 0:
+                self._forget(volume_id)
+
+    def _forget(self, volume_id: int) -> None:
+        forgotten = self.limiters.pop(volume_id)
+        self._newcomers.pop(volume_id, None)
+        self.recorded_since = max(self.recorded_since, forgotten.refilled_at)
+
     def limiter(self, pending: PendingRequest, now: float) -> RateLimiter:
         """Return the volume's limiter, refilled; it is created at the volume's first request.
 
@@ -251,13 +284,13 @@
             limiter.usage_share = min(1.0, limiter.served_units_per_s / metered_units_per_s)
 
     def forget_idle_volumes(self, now: float) -> None:
-        """Drop idle volumes, and the least recently used ones beyond MAX_VOLUMES.
+        """Drop idle volumes, and the least recently used ones beyond `max_volumes`.
 
         A bucket that is created again starts empty, so the limit still holds.
         """
         while self.limiters:
-            is_idle = next(iter(self.limiters.values())).refilled_at < now - IDLE_VOLUME_S
-            if len(self.limiters) <= MAX_VOLUMES and not is_idle:
+            volume_id, oldest = next(iter(self.limiters.items()))
+            is_idle = oldest.refilled_at < now - IDLE_VOLUME_S
+            if len(self.limiters) <= self.max_volumes and not is_idle:
                 break
-            _, forgotten = self.limiters.popitem(last=False)
-            self.recorded_since = max(self.recorded_since, forgotten.refilled_at)
+            self._forget(volume_id)
--- a/fawnspool/scheduling/retries.py
+++ b/fawnspool/scheduling/retries.py
@@ -25,6 +25,7 @@
     def record_request(self, now: float) -> None:
         """Count an accepted request."""
         if self._minimum is not None:
+            self._forget(self._requests_at, now)
             self._requests_at.append(now)
 
     def record_retry(self, now: float) -> None:
@@ -36,11 +37,14 @@
         """Return whether one more retry is within the budget."""
         if self._minimum is None:
             return True
-        for times in (self._requests_at, self._retries_at):
-            while times and times[0] < now - self._window_s:
-                times.popleft()
+        self._forget(self._requests_at, now)
+        self._forget(self._retries_at, now)
         return len(self._retries_at) + 1 <= self._minimum + self._ratio * len(self._requests_at)
 
+    def _forget(self, times: deque[float], now: float) -> None:
+        while times and times[0] < now - self._window_s:
+            times.popleft()
+
 
 class RetryPolicy:
     """Decides on retries and rejections by idempotence, and enforces the limits on attempts."""
--- a/fawnspool/scheduling/scheduler.py
+++ b/fawnspool/scheduling/scheduler.py
@@ -68,10 +68,13 @@
         Properties of the platform and its nodes.
     seed : int
         Seed of all random draws.
+    max_volumes : int, optional
+        Number of volumes remembered, if the process can't hold as many as usual.
     """
 
-    def __init__(self, settings: Settings, seed: int) -> None:
+    def __init__(self, settings: Settings, seed: int, max_volumes: int | None = None) -> None:
         self.settings = settings
+        self._max_volumes_per_queue: int | None = None
         self.random = Random(seed)
         self.now = 0.0
         self.actions = list[Action]()
@@ -88,6 +91,9 @@
         self.fleet_times = FleetResponseTimes()
         self._fleet_times_if_large = self.fleet_times if self.is_large_fleet else None
         self.rate_limits = RateLimits(settings, self.least_objective_s, self.check_interval_s, self.random)
+        if max_volumes is not None:
+            self.rate_limits.max_volumes = max_volumes
+            self._max_volumes_per_queue = max(1, max_volumes // max(1, settings.shard_count))
         self.delay_limit = admission.QueueingDelayLimit(settings, self.least_objective_s, self.random)
         self.retries = RetryPolicy(settings)
         self.order = RequestOrder()
@@ -161,6 +167,7 @@
         node_queue = self.node_queues.get(shard)
         if node_queue is None:
             node_queue = NodeQueue(shard, ConcurrencyLimit(self.max_limit), self.target_response_s / 2)
+            node_queue.queue.max_volumes = self._max_volumes_per_queue
             self.node_queues[shard] = node_queue
         return node_queue
 
@@ -178,7 +185,7 @@
         self.requests[event.id] = pending
         self.retries.budget.record_request(self.now)
         self.order.add(pending)
-        limiter = self._limiter(pending)
+        limiter = self.rate_limits.record_request(pending, self.now)
         admission.assign_rank(pending, limiter, self.now, self.check_interval_s)
         if admission.exceeds_rate_limit(pending, limiter, self.settings, self.now):
             self._give_up(pending)
