--- a/fawnspool/connections/resource_budget.py
+++ b/fawnspool/connections/resource_budget.py
@@ -19,8 +19,8 @@
 PARSED_HEAD_FACTOR = 3  # a head takes this many times its bytes once it is parsed
 VOLUME_BYTES = 2600  # a volume's limiter, and its queue at one node
 REQUEST_ID_BYTES = 320  # an id that is remembered
-HOST_BYTES = 2200  # a listed node, with its queue and a connection's pool
-DECODED_LIST_FACTOR = 8  # a list of hosts takes this many times its bytes while it is decoded
+HOST_BYTES = 3200  # a listed node, with its queue and a connection's pool
+DECODED_LIST_FACTOR = 24  # a list of hosts takes this many times its bytes while it is decoded
 
 _OVERHEAD_FRACTION = 0.26
 _CONNECTIONS_FRACTION = 0.30
--- a/fawnspool/relay/discovery.py
+++ b/fawnspool/relay/discovery.py
@@ -6,12 +6,14 @@
 import math
 import time
 from collections.abc import Callable, Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Any
 
+from fawnspool.connections.resource_budget import DECODED_LIST_FACTOR, HOST_BYTES
 from fawnspool.connections.start_times import StartTimes
 from fawnspool.connections.watch_timeouts import accepts_older_snapshot, watch_timeouts
 from fawnspool.gateway.watch_client import PostUpdate, WatchClient
+from fawnspool.net.connection_pool import ConnectionPool
 from fawnspool.relay.errors import NotAnObjectError, NotJsonError, OutdatedListError, UnexpectedFieldError
 from fawnspool.scheduling import interface
 from fawnspool.telemetry.logs import EventLogger
@@ -87,8 +89,15 @@
         self.last_number = 0
         self.older_lists_in_row = 0
         self.malformed_entries = 0  # of the last message
+        self.max_hosts = MAX_HOSTS
         self.confirmed = False  # whether the service has sent or confirmed the current list
 
+    def limit_memory(self, list_bytes: int) -> None:
+        """Limit the memory that the list takes, decoded and as it is kept; called before `start`."""
+        self.max_hosts = min(MAX_HOSTS, list_bytes // HOST_BYTES)
+        self.max_object_bytes = min(self.max_object_bytes, list_bytes // DECODED_LIST_FACTOR)
+        self.pool = ConnectionPool(self.pool.address, replace(self.pool.options, max_body_bytes=self.max_object_bytes))
+
     def start(self, known: Mapping[str, Any]) -> None:
         """Post the endpoint list of the configuration, which may be outdated."""
         try:
@@ -159,8 +168,8 @@
             raise UnexpectedFieldError("hosts", "a list")
         is_delta = kind is interface.UpdateKind.DELTA
         known = len(self.nodes) if is_delta else 0
-        if known + len(raw_entries) > MAX_HOSTS:
-            raise UnexpectedFieldError("hosts", f"at most {MAX_HOSTS} with the {known} known ones")
+        if known + len(raw_entries) > self.max_hosts:
+            raise UnexpectedFieldError("hosts", f"at most {self.max_hosts} with the {known} known ones")
         now = time.monotonic()
         self.start_times.observe_clocks(time.time(), now)
         if not is_delta:
--- a/fawnspool/relay/process.py
+++ b/fawnspool/relay/process.py
@@ -14,7 +14,7 @@
 from fawnspool.connections.config_reload import retry_delay_s
 from fawnspool.connections.descriptor_limits import divide_descriptors
 from fawnspool.connections.idle_timeouts import NODE_COOLDOWN_S, NODE_IDLE_FRACTION
-from fawnspool.connections.resource_budget import AT_REST_BYTES, divide_resources
+from fawnspool.connections.resource_budget import AT_REST_BYTES
 from fawnspool.gateway.core import GatewayCore
 from fawnspool.gateway.observability import Observability
 from fawnspool.net.connection_pool import PoolOptions
@@ -24,6 +24,7 @@
 from fawnspool.relay.graceful_shutdown import GracefulShutdown
 from fawnspool.relay.node_client import RelayNodeProtocol
 from fawnspool.relay.request_handler import RequestHandler
+from fawnspool.relay.resource_limits import ProcessLimits, ResourceLimits
 from fawnspool.relay.snapshots import (
     CounterSnapshot,
     LogFields,
@@ -63,8 +64,10 @@
         self.log = logs.get(head=config.name)
         settings = config.settings
         connection_limits = divide_descriptors(config.max_descriptors, settings.shard_count)
-        self.budget = divide_resources(config.memory_bytes, resident_bytes() or AT_REST_BYTES, connection_limits)
-        self.scheduler = Scheduler(settings, config.seed, self.budget.volumes)
+        process_limits = ProcessLimits(config.memory_bytes, resident_bytes() or AT_REST_BYTES, connection_limits)
+        budget = process_limits.divide(hosts=0)
+        self.scheduler = Scheduler(settings, config.seed)
+        self.scheduler.limit_volumes(budget.volumes)
         self.counters = GatewayCounters()
         self.core = GatewayCore(
             settings,
@@ -80,7 +83,7 @@
             ),
             Observability(self.counters, self.log),
         )
-        self.core.limit_answers(self.budget.answers)
+        self.core.limit_answers(budget.answers)
         self.discovery = DiscoveryClient(
             config.discovery,
             EndpointNames(config.zones, config.node_kinds),
@@ -88,10 +91,12 @@
             self.log,
             self.free_descriptor,
         )
+        self.discovery.limit_memory(budget.endpoint_list)
         self.discovery.wait_until_handled = self.core.loop.wait_until_handled
         self.core.endpoints = self.discovery
-        self.handler = RequestHandler(self.core, settings, config.listen, self.budget)
-        self.core.further_checks.append(self.handler.request_memory.check)
+        self.handler = RequestHandler(self.core, settings, config.listen, budget)
+        self.resource_limits = ResourceLimits(process_limits, self.core, self.handler, self.discovery)
+        self.core.further_checks += [self.handler.request_memory.check, self.resource_limits.check]
         longest_deadline_s = max(request_class.deadline_s for request_class in settings.classes)
         self.shutdown = GracefulShutdown(self.handler, longest_deadline_s, self.log)
         self.ended = Event()
--- a/fawnspool/scheduling/scheduler.py
+++ b/fawnspool/scheduling/scheduler.py
@@ -68,11 +68,9 @@
         Properties of the platform and its nodes.
     seed : int
         Seed of all random draws.
-    max_volumes : int, optional
-        Number of volumes remembered, if the process can't hold as many as usual.
     """
 
-    def __init__(self, settings: Settings, seed: int, max_volumes: int | None = None) -> None:
+    def __init__(self, settings: Settings, seed: int) -> None:
         self.settings = settings
         self._max_volumes_per_queue: int | None = None
         self.random = Random(seed)
@@ -91,9 +89,6 @@
         self.fleet_times = FleetResponseTimes()
         self._fleet_times_if_large = self.fleet_times if self.is_large_fleet else None
         self.rate_limits = RateLimits(settings, self.least_objective_s, self.check_interval_s, self.random)
-        if max_volumes is not None:
-            self.rate_limits.max_volumes = max_volumes
-            self._max_volumes_per_queue = max(1, max_volumes // max(1, settings.shard_count))
         self.delay_limit = admission.QueueingDelayLimit(settings, self.least_objective_s, self.random)
         self.retries = RetryPolicy(settings)
         self.order = RequestOrder()
@@ -130,6 +125,13 @@
             handler(event)
         return self.actions
 
+    def limit_volumes(self, max_volumes: int) -> None:
+        """Set the number of volumes remembered, if the process can't hold as many as usual."""
+        self.rate_limits.max_volumes = max_volumes
+        self._max_volumes_per_queue = max(1, max_volumes // max(1, self.settings.shard_count))
+        for node_queue in self.node_queues.values():
+            node_queue.queue.max_volumes = self._max_volumes_per_queue
+
     def consecutive_failures(self) -> list[tuple[int, int]]:
         """Return the busy nodes with recent failures, and their numbers of consecutive failures."""
         return [
--- a/tests/e2e/overload_peers.py
+++ b/tests/e2e/overload_peers.py
@@ -17,7 +17,7 @@
 import gevent
 from gevent import socket
 
-from tests.e2e.overload_rig import HUGE_ANSWER_TARGET, LONG_ANSWER_TARGET, NODES
+from tests.e2e.overload_rig import HALF_ANSWER_TARGET, HUGE_ANSWER_TARGET, LONG_ANSWER_TARGET, NODES
 from tests.e2e.relayrig import headers, request_bytes
 
 CONNECT_TIMEOUT_S = 3.0
@@ -149,6 +149,13 @@
             gevent.sleep(PIECE_PAUSE_S)
 
 
+def half_answers(peer: Peer) -> None:
+    """Ask for answers whose nodes stop in the middle."""
+    with peer.connect() as sock:
+        sock.sendall(request_bytes(HALF_ANSWER_TARGET, peer.fields()))
+        await_end(sock, STAY_S)
+
+
 def _pipeline(peer: Peer, make: Callable[[], bytes]) -> None:
     """Send requests one behind the other at full speed, with at most `PIPELINED` unanswered."""
     with peer.connect() as sock:
@@ -213,6 +220,7 @@
     "silent": Kind(silent, 1100),
     "unread-answers": Kind(unread_answers, 200),
     "huge-answers": Kind(huge_answers, 60),
+    "half-answers": Kind(half_answers, 60),
     "new-names": Kind(new_names, 1),
     "new-names-beyond-limit": Kind(new_names_beyond_their_limit, 1),
     "new-names-one-by-one": Kind(new_names_one_by_one, 4),
--- a/tests/e2e/overload_rig.py
+++ b/tests/e2e/overload_rig.py
@@ -18,6 +18,7 @@
 import tomllib
 from collections.abc import Iterator
 from dataclasses import dataclass, field
+from functools import partial
 from pathlib import Path
 from typing import Any
 
@@ -34,6 +35,8 @@
 LONG_ANSWER_BYTES = 60_000
 HUGE_ANSWER_TARGET = "/read/huge"
 HUGE_ANSWER_BYTES = 1 << 20
+HALF_ANSWER_TARGET = "/read/half"
+HALF_ANSWER_BYTES = 900_000  # of an answer of `HUGE_ANSWER_BYTES`; the rest never comes
 READ_DEADLINE_S = 2.0
 ALLOWANCE_S = 0.5  # a final answer that comes later than this after the request's time, or never, is lost
 READY_WITHIN_S = 30.0
@@ -152,6 +155,7 @@
     ident: str
     status: int
     after_s: float
+    sent_at: float = 0.0
 
 
 @dataclass
@@ -171,7 +175,7 @@
             ident = f"{self.name}-{len(self.answers)}"
             began = time.monotonic()
             status = self._ask(ident, began + READ_DEADLINE_S + ALLOWANCE_S)
-            self.answers.append(SoundAnswer(ident, status, time.monotonic() - began))
+            self.answers.append(SoundAnswer(ident, status, time.monotonic() - began, began))
         self._close()
 
     def _ask(self, ident: str, until: float) -> int:
@@ -258,7 +262,8 @@
     """Nodes, discovery, the gateway's process and its sound clients."""
 
     def __init__(self, folder: Path, limits: Limits) -> None:
-        self.shelfs = [Shelf(block, script=_answer) for block in range(NODES)]
+        self.slow_nodes: dict[int, float] = {}  # further work of a node, in seconds
+        self.shelfs = [Shelf(block, script=partial(self._answer, block)) for block in range(NODES)]
         self.discovery = DiscoveryServer()
         for shelf in self.shelfs:
             self.discovery.put(shelf, f"s-{shelf.block}")
@@ -301,6 +306,10 @@
         """Return the ids of the requests that the nodes received whole, in any order."""
         return [request.ident for shelf in self.shelfs for request in shelf.requests]
 
+    def _answer(self, block: int, request: ShelfRequest) -> bytes | None:
+        gevent.sleep(NODE_WORK_S + self.slow_nodes.get(block, 0.0))
+        return _raw_answer(request)
+
     def stop(self) -> None:
         """End everything that was started."""
         for peer in self._peers:
@@ -312,8 +321,9 @@
         self.discovery.server.stop()
 
 
-def _answer(request: ShelfRequest) -> bytes | None:
-    gevent.sleep(NODE_WORK_S)
+def _raw_answer(request: ShelfRequest) -> bytes | None:
+    if request.target == HALF_ANSWER_TARGET:
+        return b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % HUGE_ANSWER_BYTES + b"x" * HALF_ANSWER_BYTES
     lengths = {LONG_ANSWER_TARGET: LONG_ANSWER_BYTES, HUGE_ANSWER_TARGET: HUGE_ANSWER_BYTES}
     length = lengths.get(request.target)
     if length is None:
--- a/tests/test_remembered_names.py
+++ b/tests/test_remembered_names.py
@@ -15,7 +15,6 @@
 from fawnspool.scheduling.fair_queue import FairQueue
 from fawnspool.scheduling.interface import Result
 from fawnspool.scheduling.retries import RetryBudget
-from fawnspool.scheduling.scheduler import Scheduler
 from fawnspool.telemetry import logs
 from fawnspool.telemetry.counters import GatewayCounters
 from tests.conftest import GatewayDriver, make_plan, make_settings
@@ -27,10 +26,7 @@
 def limited_gateway(plan_rate_limit: float = 0.0) -> GatewayDriver:
     plan = make_plan(rate_limit=plan_rate_limit, rate_limit_burst=plan_rate_limit)
     gateway = GatewayDriver(make_settings(plans=(plan,)), nodes=2)
-    limited = Scheduler(gateway.scheduler.settings, 1, MAX_VOLUMES)
-    gateway.scheduler.rate_limits.max_volumes = limited.rate_limits.max_volumes
-    for node_queue in gateway.scheduler.node_queues.values():
-        node_queue.queue.max_volumes = limited._max_volumes_per_queue
+    gateway.scheduler.limit_volumes(MAX_VOLUMES)
     return gateway if plan_rate_limit else gateway.warm()
 
 
@@ -51,7 +47,7 @@
         assert KNOWN_VOLUME in limiters
     gateway.run(gateway.now + 5)
     queues: list[FairQueue] = [node_queue.queue for node_queue in gateway.scheduler.node_queues.values()]
-    assert all(len(queue.volumes) <= MAX_VOLUMES // 2 + len(queue.active) + 1 for queue in queues)
+    assert all(len(queue.volumes) <= MAX_VOLUMES // 3 + len(queue.active) + 1 for queue in queues)
 
 
 def test_newcomer_with_a_queued_request_is_not_forgotten(make_gateway: Callable[..., GatewayDriver]) -> None:
