Keep no more idle greenlets than the clients that memory allows may need

What callers saw: nothing; seen while the shares were measured. Up to 256 greenlets of attempts were kept at rest, some 10 KiB each, whatever the memory: a quarter of what 32 MB leave, in no share.

Why it works: their number follows from the client connections of the budget, a quarter of them.

--- a/fawnspool/gateway/core.py
+++ b/fawnspool/gateway/core.py
@@ -32,6 +32,7 @@
 from fawnspool.scheduling.timer_tokens import request_of_token
 
 _MAX_IDLE_GREENLETS = 256
+_CLIENTS_PER_IDLE_GREENLET = 4
 _REQUEST_ID_BITS_PER_MILLISECOND = 20
 
 
@@ -125,6 +126,10 @@
         self.answer_memory = MemoryGate(MemoryAccount(total_bytes, SMALL_MESSAGE_BYTES), NodeAttempt.shed)
         self.attempt_hooks = replace(self.attempt_hooks, answer_memory=self.answer_memory)
 
+    def limit_idle_greenlets(self, clients: int) -> None:
+        """Keep no more idle greenlets for attempts than so many client connections may need at the same time."""
+        self.greenlets.max_idle = min(_MAX_IDLE_GREENLETS, max(1, clients // _CLIENTS_PER_IDLE_GREENLET))
+
     def start(self) -> None:
         """Start the event loop and the periodic checks."""
         self.loop.start()
--- a/fawnspool/relay/resource_limits.py
+++ b/fawnspool/relay/resource_limits.py
@@ -35,7 +35,7 @@
         self.core = core
         self.handler = handler
         self.discovery = discovery
-        self._hosts = 0
+        self._hosts: int | None = None  # for which the resources are divided
 
     def check(self) -> None:
         """Divide the resources again if the number of hosts has changed; must be called often."""
@@ -54,6 +54,7 @@
         self.handler.request_ids.max_ids = budget.request_ids
         if self.core.answer_memory is not None:
             self.core.answer_memory.account.total_bytes = budget.answers
+        self.core.limit_idle_greenlets(budget.connections)
         module = self.core.loop.module
         if isinstance(module, Scheduler):
             module.limit_volumes(budget.volumes)
