Refuse several dawdling requests at a time while new connections wait for a descriptor

What callers saw: with 192 MB and 384 descriptors, 300 clients that stop half way through a body kept sound clients waiting for 0.75 s, slow bodies for 0.83 s: memory was not short, but all places for connections were taken.

Cause: net/server.py refused one request every 10 ms, so at most 100 new connections a second were accepted.

--- a/fawnspool/net/server.py
+++ b/fawnspool/net/server.py
@@ -35,6 +35,7 @@
 from fawnspool.net.socket_stream import SocketStream
 
 _EVICTION_CANDIDATES = 64  # an eviction checks at most this many waiting connections of each kind
+_SHED_AT_ONCE = 4  # requests refused for their descriptors, as often as a full server tries again
 _FULL_RETRY_S = 0.01  # a full server waits this long before it tries again to accept
 _ACCEPTS_PER_ITERATION = 16  # most connections accepted in one iteration of the loop
 _HANDSHAKE_S = 0.02  # once new connections are refused, handshakes in progress complete within this time
@@ -152,10 +153,12 @@
         gevent.sleep(_FULL_RETRY_S)
         return False
 
-    def _shed_oldest(self) -> bool:
-        """Refuse the request that has been arriving for longest; its connection is closed soon after."""
+    def _shed_oldest(self) -> None:
+        """Refuse the requests that have been arriving for longest; their connections are closed soon after."""
         memory = self.options.request_memory
-        return memory is not None and memory.shed_oldest()
+        for _ in range(_SHED_AT_ONCE):
+            if memory is None or not memory.shed_oldest():
+                return
 
     def _start_connection(self, sock: Any) -> None:
         """Start to serve an accepted connection, or close it if the server is full."""
