Leave a reserve to usual answers, and shed no answer that has been read

What callers saw: nothing yet; found by reading the new code. With answers' memory used up, every answer over 4 KiB counted as long, so a third of the share went unused, and an answer that waited only for its client was chosen to be ended, which freed nothing.

Why it works: answers up to 64 KiB, the usual size, draw on the reserve; a read answer is complete in the account.

--- a/fawnspool/connections/resource_budget.py
+++ b/fawnspool/connections/resource_budget.py
@@ -16,6 +16,7 @@
 CONNECTION_BYTES = 11_264  # a client's connection that waits: its greenlet, parser and socket
 REQUEST_BYTES = 16_384  # a request from its first byte to its answer, with a small head, body and answer
 SMALL_MESSAGE_BYTES = 4096  # a body or an answer up to this size is part of `REQUEST_BYTES`
+USUAL_ANSWER_BYTES = 65_536  # longer answers leave a reserve to those up to this size
 PARSED_HEAD_FACTOR = 3  # a head takes this many times its bytes once it is parsed
 VOLUME_BYTES = 3000  # a volume's limiter, and its queue at one node
 REQUEST_ID_BYTES = 320  # an id that is remembered
--- a/fawnspool/gateway/attempts.py
+++ b/fawnspool/gateway/attempts.py
@@ -312,7 +312,7 @@
         try:
             if reserve is not None and head.length is not None:
                 reserve(head.length)
-            return connection.read_body(self.attempt.deadline, self.hooks.protocol.max_buffered_bytes, reserve)
+            body = connection.read_body(self.attempt.deadline, self.hooks.protocol.max_buffered_bytes, reserve)
         except MemoryShortError:
             raise _AttemptEndedError(AttemptEnding.NO_MEMORY) from None
         except TimeoutError:
@@ -323,6 +323,9 @@
             raise self._connection_lost(AttemptEnding.TRUNCATED_RESPONSE) from None
         except HttpError as error:
             raise _AttemptEndedError(_response_error_ending(error)) from None
+        if self.hooks.answer_memory is not None:
+            self.hooks.answer_memory.complete(self.attempt)
+        return body
 
     def _hold_answer(self, size: int) -> None:
         """Take memory for so many bytes of the answer, unless they are few. Raises MemoryShortError."""
--- a/fawnspool/gateway/core.py
+++ b/fawnspool/gateway/core.py
@@ -15,7 +15,7 @@
 from typing import Protocol
 
 from fawnspool.connections.memory_account import MemoryAccount
-from fawnspool.connections.resource_budget import SMALL_MESSAGE_BYTES
+from fawnspool.connections.resource_budget import USUAL_ANSWER_BYTES
 from fawnspool.gateway.answer_reasons import reason_for_client, reason_label
 from fawnspool.gateway.attempt_results import RESULTS, AttemptEnding
 from fawnspool.gateway.attempts import AttemptHooks, AttemptOutcome, NodeProtocol, run_attempt
@@ -123,7 +123,7 @@
 
     def limit_answers(self, total_bytes: int) -> None:
         """Limit the memory that nodes' answers take until their clients have them; called before `start`."""
-        self.answer_memory = MemoryGate(MemoryAccount(total_bytes, SMALL_MESSAGE_BYTES), NodeAttempt.shed)
+        self.answer_memory = MemoryGate(MemoryAccount(total_bytes, USUAL_ANSWER_BYTES), NodeAttempt.shed)
         self.attempt_hooks = replace(self.attempt_hooks, answer_memory=self.answer_memory)
 
     def limit_idle_greenlets(self, clients: int) -> None:
