Move what a connection needs from its server to a module of its own

Tests that set shares by hand first let the process divide them, as its first check would otherwise undo what they set (two cases of test_long_bodies_are_forwarded failed so, once).

--- a/fawnspool/net/server_connection.py
+++ b/fawnspool/net/server_connection.py
@@ -10,14 +10,12 @@
 import contextlib
 import math
 import time
-from collections.abc import Callable
 from http import HTTPStatus
-from typing import Protocol
 
 import gevent
 
 from fawnspool.connections.states import CloseCause, ConnectionEvent, ConnectionState, next_state, owed_status
-from fawnspool.net.admission_throttle import AdmissionThrottle
+from fawnspool.net.connection_owner import ConnectionOwner
 from fawnspool.net.exceptions import ClientDisconnectedError, HttpError
 from fawnspool.net.exchange import JSON_HEADER, Exchange
 from fawnspool.net.http import (
@@ -31,7 +29,6 @@
 from fawnspool.net.lingering_close import await_acknowledged, discard_rest
 from fawnspool.net.memory_gate import MemoryShortError
 from fawnspool.net.request_memory import SHORT_READ_BYTES, RequestMemory
-from fawnspool.net.server_options import ServerOptions
 from fawnspool.net.socket_stream import SocketStream
 
 # An untrusted client is treated as disconnected when this many bytes after the request being handled are unread.
@@ -47,51 +44,6 @@
 _OVERLOAD_REASON = "the server has no memory left for the request"
 
 
-class ConnectionOwner(Protocol):
-    """What a connection needs from its server.
-
-    Attributes
-    ----------
-    handler
-        Answers an exchange, once.
-    idle, new
-        Connections that may be evicted because they wait for a request: for another one (`idle`) or for their first
-        (`new`). Each adds itself while it waits, so the one that has waited longest is first.
-    throttle
-        Limits how many requests start per iteration of the event loop.
-    draining
-        Every response is the last of its connection.
-    shutdown_deadline
-        Latest end of all waits to read (monotonic seconds); infinite until the server drains.
-    reading_ended
-        No further bytes are read.
-    """
-
-    options: ServerOptions
-    handler: Callable[[Exchange], None]
-    idle: dict[ServerConnection, None]
-    new: dict[ServerConnection, None]
-    throttle: AdmissionThrottle | None
-    draining: bool
-    shutdown_deadline: float
-    reading_ended: bool
-
-    def is_last_response(self) -> bool:
-        """Return whether a connection must end with its response."""
-
-    def start_deadline(self, head: RequestHead, arrived_at: float) -> float:
-        """Return the time until which a request may wait for the throttle (monotonic seconds)."""
-
-    def note_error(self, error: Exception) -> None:
-        """Report that a handler raised an exception."""
-
-    def note_rejected(self, error: HttpError) -> None:
-        """Report that a request was rejected."""
-
-    def note_end(self, connection: ServerConnection) -> None:
-        """Report that a connection has ended."""
-
-
 class ServerConnection:
     """One client's connection.
 
--- a/tests/e2e/test_relay.py
+++ b/tests/e2e/test_relay.py
@@ -126,6 +126,7 @@
 @pytest.mark.parametrize("chunked", [False, True])
 def test_long_bodies_are_forwarded_while_memory_for_them_remains(tmp_path: Path, chunked: bool) -> None:
     rig = RelayRig(tmp_path)
+    rig.program.resource_limits.check()  # divides the memory for the list of the rig
     memory = rig.program.handler.request_memory.account
     memory.total_bytes = 360_000
     try:
--- a/tests/test_answer_memory.py
+++ b/tests/test_answer_memory.py
@@ -21,6 +21,7 @@
 @pytest.fixture
 def rig(tmp_path: Path) -> Iterator[RelayRig]:
     rig = RelayRig(tmp_path)
+    rig.program.resource_limits.check()  # divides the memory for the list of the rig
     account(rig).total_bytes = LARGE_ANSWERS * ANSWER_BYTES * 3 // 2 + USUAL_ANSWER_BYTES
     yield rig
     rig.stop()
