--- a/tests/e2e/overload_soak.py
+++ b/tests/e2e/overload_soak.py
@@ -20,6 +20,7 @@
 
 from tests.e2e.overload_peers import KINDS
 from tests.e2e.overload_rig import NODES, READ_DEADLINE_S, Limits, OverloadRig, Report, overload_rig
+from tests.e2e.soak_command import run_soak, usage_of
 
 LOAD_S = 2.5
 KILL_AFTER_S = 2.0 + 0.7  # the longest deadline of the settings, and the platform's margin
@@ -27,7 +28,7 @@
 MAX_SIGNALS = 4
 CROWD = "silent"
 ERRORS = ("module_raised", "request_handler_raised", "action_failed", "Traceback")
-USAGE = "usage: python -m tests.e2e.overload_soak SEEDS [FIRST]: whole numbers from 1 on"
+USAGE = usage_of("overload_soak")
 
 
 @dataclass(frozen=True)
@@ -114,11 +115,7 @@
 
 def main(arguments: list[str]) -> int:
     """Run the command line and return the exit status."""
-    numbers = [int(text) if text.isdecimal() else 0 for text in arguments]
-    if len(numbers) not in (1, 2) or min(numbers) < 1:
-        print(USAGE, file=sys.stderr)
-        return 2
-    return 1 if soak(numbers[1] if len(numbers) > 1 else 1, numbers[0]) else 0
+    return run_soak(USAGE, soak, arguments)
 
 
 if __name__ == "__main__":
--- a/tests/e2e/release_soak.py
+++ b/tests/e2e/release_soak.py
@@ -18,12 +18,13 @@
 
 from tests.e2e.relayrig import RelayRig
 from tests.e2e.resting_clients import Crowd
+from tests.e2e.soak_command import run_soak, usage_of
 from tests.e2e.test_release import forty_clients, with_deadline
 
 DEADLINES = (2.0, 0.4)
 MAX_SIGNALS = 5
 CROWDS = (Crowd(), Crowd(idle=40, rude=10), Crowd(idle=200, rude=4))
-USAGE = "usage: python -m tests.e2e.release_soak SEEDS [FIRST]: whole numbers from 1 on"
+USAGE = usage_of("release_soak")
 
 
 @dataclass(frozen=True)
@@ -78,11 +79,7 @@
 
 def main(arguments: list[str]) -> int:
     """Run the command line and return the exit status."""
-    numbers = [int(text) if text.isdecimal() else 0 for text in arguments]
-    if len(numbers) not in (1, 2) or min(numbers) < 1:
-        print(USAGE, file=sys.stderr)
-        return 2
-    return 1 if soak(numbers[1] if len(numbers) > 1 else 1, numbers[0]) else 0
+    return run_soak(USAGE, soak, arguments)
 
 
 if __name__ == "__main__":
--- a/tests/test_answer_memory.py
+++ b/tests/test_answer_memory.py
@@ -81,7 +81,7 @@
 
 
 def test_small_answers_come_while_the_memory_for_long_ones_is_used_up(rig: RelayRig) -> None:
-    """Guards against nodes that dawdle over long answers and keep everybody else's back."""
+    """Guards against nodes that stop in the middle of long answers and keep everybody else's back."""
     answer_with(rig, 1000)
     socks = [rig.raw(request_bytes("/read", headers(f"r{k}"))) for k in range(2 * LARGE_ANSWERS)]
     wait_for(lambda: account(rig).has_waiters or account(rig).used_bytes >= ANSWER_BYTES)
--- a/tests/test_resource_budget.py
+++ b/tests/test_resource_budget.py
@@ -81,7 +81,7 @@
     assert account.grant(0.0) == ["large 1"]
 
 
-def test_messages_that_dawdle_are_shed_for_those_that_wait_and_complete_ones_never() -> None:
+def test_slow_messages_are_shed_for_those_that_wait_and_complete_ones_never() -> None:
     account = MemoryAccount[str](4 * SMALL, SMALL)
     for number in range(4):
         assert account.hold(f"h{number}", SMALL, number / 100)
