Evict no connection that another needs before it has waited 0.1 s

Cause: net/server.py evicted whatever waited for a request, also a connection that had just been accepted, while requests that had been arriving for long kept all other places.

Why it works: a connection is evicted for another one only once it has waited for 0.1 s; until then slow requests are refused. For the watch of discovery, which needs a descriptor at once, the rule is as before.

Evidence: test_new_connection_is_not_evicted_before_its_client_can_send failed on (connection ended without an answer).

--- a/fawnspool/connections/eviction.py
+++ b/fawnspool/connections/eviction.py
@@ -4,6 +4,8 @@
 
 from enum import Enum
 
+MIN_WAIT_S = 0.1  # a connection is not evicted earlier for another one: a client sends on a new one at once
+
 
 class WaitingKind(Enum):
     """The kinds of client connections that wait for a request."""
--- a/fawnspool/net/connection_owner.py
+++ b/fawnspool/net/connection_owner.py
@@ -24,7 +24,8 @@
         Answers an exchange, once.
     idle, new
         Connections that may be evicted because they wait for a request: for another one (`idle`) or for their first
-        (`new`). Each adds itself while it waits, so the one that has waited longest is first.
+        (`new`). Each adds itself, with the time (monotonic seconds), while it waits, so the one that has waited longest
+        is first.
     throttle
         Limits how many requests start per iteration of the event loop.
     draining
@@ -37,8 +38,8 @@
 
     options: ServerOptions
     handler: Callable[[Exchange], None]
-    idle: dict[ServerConnection, None]
-    new: dict[ServerConnection, None]
+    idle: dict[ServerConnection, float]
+    new: dict[ServerConnection, float]
     throttle: AdmissionThrottle | None
     draining: bool
     shutdown_deadline: float
--- a/fawnspool/net/server.py
+++ b/fawnspool/net/server.py
@@ -22,7 +22,7 @@
 from gevent.hub import get_hub
 
 from fawnspool.connections.descriptor_limits import is_crowded
-from fawnspool.connections.eviction import WaitingKind, kind_to_evict
+from fawnspool.connections.eviction import MIN_WAIT_S, WaitingKind, kind_to_evict
 from fawnspool.connections.states import CloseCause
 from fawnspool.net.admission_throttle import AdmissionThrottle
 from fawnspool.net.exceptions import HttpError
@@ -99,8 +99,8 @@
         self.options = options or ServerOptions()
         self.callbacks = callbacks or ServerCallbacks()
         self.connections: dict[ServerConnection, Any] = {}
-        self.idle: dict[ServerConnection, None] = {}
-        self.new: dict[ServerConnection, None] = {}
+        self.idle: dict[ServerConnection, float] = {}
+        self.new: dict[ServerConnection, float] = {}
         self.accepted = 0
         self.closed_counts: Counter[tuple[str, str]] = Counter()
         self.draining = False
@@ -147,7 +147,7 @@
         and closed without its request being read.
         """
         socket.wait_read(self.sock.fileno())
-        if self.evict_waiting():
+        if self.evict_waiting(MIN_WAIT_S):
             return True
         self._shed_oldest()
         gevent.sleep(_FULL_RETRY_S)
@@ -174,7 +174,7 @@
     def _accept_failed(self, error: OSError) -> None:
         """Handle an accept error, which must never stop the server: free a descriptor or wait."""
         if error.errno in (errno.EMFILE, errno.ENFILE):
-            if not self.options.untrusted_clients or not self.evict_waiting():
+            if not self.options.untrusted_clients or not self.evict_waiting(MIN_WAIT_S):
                 self._shed_oldest()
                 gevent.sleep(_FULL_RETRY_S)  # out of descriptors: wait for one to be closed
         elif error.errno != errno.ECONNABORTED:
@@ -187,11 +187,16 @@
         finally:
             self.connections.pop(connection, None)
 
-    def evict_waiting(self) -> bool:
+    def evict_waiting(self, min_wait_s: float = 0.0) -> bool:
         """Close the connection that has waited longest for a request, of the kind that `kind_to_evict` prefers.
 
         A connection whose request has arrived but is still unread is not evicted.
 
+        Parameters
+        ----------
+        min_wait_s
+            Shortest wait of a connection that is evicted.
+
         Returns
         -------
         bool
@@ -201,8 +206,10 @@
         if kind is None:
             return False
         preferred, others = (self.new, self.idle) if kind is WaitingKind.NEW else (self.idle, self.new)
-        for connection in [*islice(preferred, _EVICTION_CANDIDATES), *islice(others, _EVICTION_CANDIDATES)]:
-            if connection.stream.has_unread():
+        waiting_since = time.monotonic() - min_wait_s
+        candidates = [*islice(preferred.items(), _EVICTION_CANDIDATES), *islice(others.items(), _EVICTION_CANDIDATES)]
+        for connection, since in candidates:
+            if since > waiting_since or connection.stream.has_unread():
                 continue
             self.idle.pop(connection, None)
             self.new.pop(connection, None)
--- a/fawnspool/net/server_connection.py
+++ b/fawnspool/net/server_connection.py
@@ -317,9 +317,10 @@
         else:
             waiting = self.server.new
             timeout_s = options.first_request_timeout_s
-        deadline = self._bounded(time.monotonic() + timeout_s)
+        since = time.monotonic()
+        deadline = self._bounded(since + timeout_s)
         while True:
-            waiting[self] = None
+            waiting[self] = since
             try:
                 self.stream.await_readable(deadline)
             finally:
--- a/tests/e2e/test_relay.py
+++ b/tests/e2e/test_relay.py
@@ -239,6 +239,25 @@
         rig.stop()
 
 
+def test_new_connection_is_not_evicted_before_its_client_can_send(tmp_path: Path) -> None:
+    """Guards against a request that crosses two evictions: slow requests held all other places and were not ended."""
+    rig = RelayRig(tmp_path, sockets=64)
+    try:
+        server = rig.program.handler.server
+        half = request_bytes("/read", headers("h"))[:40]
+        slow = [rig.raw(half) for _ in range(server.options.max_connections - 1)]
+        wait_for(lambda: server.states().get("reading") == len(slow))
+        sound = rig.client()
+        wait_for(lambda: server.new)
+        others = [rig.raw(half) for _ in range(3)]
+        gevent.sleep(0.03)
+        assert sound.ask("GET", "/read", **headers("r1")).status == 200
+        assert rig.client().ask("GET", "/read", **headers("r2")).status == 200
+        assert len(others) == 3
+    finally:
+        rig.stop()
+
+
 def test_responses_end_their_connections_while_the_server_is_crowded(tmp_path: Path) -> None:
     """Otherwise clients that keep their connections after one request would leave no connections for others."""
     rig = RelayRig(tmp_path, sockets=64)
