Let no idle connection make room while the new ones are too young to be evicted

Cause: passed over connections that had waited for less than 0.1 s, and went on to those of the other kind. While all of a flood's connections were that young, resting ones were evicted, against the rule that the more numerous kind makes room.

Evidence: the failed line is the second request on the resting connection; under load the silent ones took over 0.1 s less to wait than it had. test_flood_of_new_connections_does_not_evict_one_that_has_carried_a_request does the same without load and failed on.

--- a/fawnspool/net/server.py
+++ b/fawnspool/net/server.py
@@ -209,7 +209,9 @@
         waiting_since = time.monotonic() - min_wait_s
         candidates = [*islice(preferred.items(), _EVICTION_CANDIDATES), *islice(others.items(), _EVICTION_CANDIDATES)]
         for connection, since in candidates:
-            if since > waiting_since or connection.stream.has_unread():
+            if since > waiting_since:
+                return False  # the other kind does not make room for one whose connections are too young
+            if connection.stream.has_unread():
                 continue
             self.idle.pop(connection, None)
             self.new.pop(connection, None)
--- a/tests/e2e/test_relay.py
+++ b/tests/e2e/test_relay.py
@@ -239,6 +239,20 @@
         rig.stop()
 
 
+def test_flood_of_new_connections_does_not_evict_one_that_has_carried_a_request(tmp_path: Path) -> None:
+    """Guards against new connections that are all too young to be evicted, so that resting ones make room for them."""
+    rig = RelayRig(tmp_path, sockets=64)
+    try:
+        used = rig.client()
+        assert used.ask("GET", "/read", **headers("r0")).status == 200
+        gevent.sleep(0.2)
+        silent = [rig.raw(b"") for _ in range(rig.program.handler.server.options.max_connections + 5)]
+        assert silent[0].recv(1) == b""
+        assert used.ask("GET", "/read", **headers("r1")).status == 200
+    finally:
+        rig.stop()
+
+
 def test_new_connection_is_not_evicted_before_its_client_can_send(tmp_path: Path) -> None:
     """Guards against a request that crosses two evictions: slow requests held all other places and were not ended."""
     rig = RelayRig(tmp_path, sockets=64)
