--- a/review/6/check.py
+++ b/review/6/check.py
@@ -15,6 +15,7 @@
 from rig_2 import (  # noqa: E402
     ANSWER_GRACE_S,
     AREA_EXPORT,
+    HELD,
     TROUBLE,
     Case,
     Discovery,
@@ -126,5 +127,9 @@
         shelf.stop()
 
 
+def test_all_clients_are_answered_with_sixteen_times_the_shelfs() -> None:
+    assert run_case(play, HERE) == HELD
+
+
 if __name__ == "__main__":
     sys.exit(run_case(play, HERE))
