Let one node use half of the nodes' descriptors instead of a fixed division

What callers saw: with 11 to 16 nodes and 256 descriptors, 85 clients that ask without a rest got 503 for four of five requests, while 100 of the 256 descriptors were free and every node was well.

Cause: the bound per node, a third of the descriptors divided by the number of shards, was 4 to 6, to keep the sum. 5 to 8 requests are in flight at each of these nodes; each beyond the bound ended four times at once with "no connection or descriptor left" and then got 503. The node's concurrency limit, which is to decide this, was never reached.

The number of spare connections stays as it was.

--- a/fawnspool/connections/descriptor_limits.py
+++ b/fawnspool/connections/descriptor_limits.py
@@ -9,7 +9,8 @@
 RESERVED_DESCRIPTORS = 32  # for the event loop, the log and the services, rather than clients or nodes
 _SERVICE_DESCRIPTORS = 9  # of those: discovery's connections, twice while it moves, and the configuration file
 MIN_CONNECTIONS = 4  # that each node, and all clients together, may always have
-_NODE_DIVISOR = 3  # nodes get one third of the descriptors that are not reserved
+_NODE_DIVISOR = 3  # at least one third of the descriptors that are not reserved is left to nodes
+_ONE_NODE_DIVISOR = 2  # of the nodes' share, so that a node that hangs leaves the rest to others
 # The server is crowded once clients hold a fourth of the limit; they may hold a third, so others still have room.
 _CROWDED_DIVISOR = 4
 _MIN_CROWDED_FROM = 2
@@ -29,7 +30,8 @@
     crowded_from
         Number of open client connections from which each response ends its connection, see `is_crowded`.
     per_node_with_spares
-        Number of connections to one node up to which spare ones are opened before a request needs them.
+        Number of connections to one node up to which spare ones are opened before a request needs them; all nodes
+        together leave `MIN_CONNECTIONS` each to requests that arrive at the same time.
     shares
         What clients, all nodes together and services are sure to get.
     """
@@ -42,21 +44,19 @@
 
 
 def divide_descriptors(descriptors: int, shards: int) -> ConnectionLimits:
-    """Divide a limit of descriptors between clients and one node per shard.
-
-    With few nodes, `per_node` may restrict a node before its concurrency limit does.
-    """
+    """Divide a limit of descriptors between clients and one node per shard."""
     available = max(2 * MIN_CONNECTIONS, descriptors - RESERVED_DESCRIPTORS)
     for_nodes = available // _NODE_DIVISOR
-    per_node = max(MIN_CONNECTIONS, for_nodes // max(1, shards))
+    spares_per_node = for_nodes // max(1, shards) - MIN_CONNECTIONS
     clients = max(MIN_CONNECTIONS, available - for_nodes)
     sure_clients = min(clients, descriptors // _REQUESTING_CLIENTS_DIVISOR + MIN_CONNECTIONS)
+    sure_nodes = available - sure_clients
     return ConnectionLimits(
         clients=clients,
-        per_node=per_node,
+        per_node=max(MIN_CONNECTIONS, sure_nodes // _ONE_NODE_DIVISOR),
         crowded_from=max(_MIN_CROWDED_FROM, descriptors // _CROWDED_DIVISOR),
-        per_node_with_spares=per_node - MIN_CONNECTIONS,  # leaves connections for requests that arrive at the same time
-        shares=DescriptorShares(sure_clients, available - sure_clients, _SERVICE_DESCRIPTORS),
+        per_node_with_spares=max(0, spares_per_node),
+        shares=DescriptorShares(sure_clients, sure_nodes, _SERVICE_DESCRIPTORS),
     )
 
 
--- a/tests/e2e/test_descriptors.py
+++ b/tests/e2e/test_descriptors.py
@@ -5,6 +5,8 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
+
 import pytest
 
 from tests.e2e.descriptor_rig import Day, DayReport, play_day
@@ -35,3 +37,13 @@
     report = play_day(DAYS[name])
     check_descriptors(report)
     assert report.refused_fraction() < MAX_REFUSED_FRACTION, report.text()
+
+
+@pytest.mark.parametrize("nodes", [11, 16])
+def test_few_nodes_serve_as_many_requests_as_there_are_descriptors_for(nodes: int) -> None:
+    """Guards against a limit for each node that refuses requests while most descriptors are free."""
+    day = Day(nodes, early_clients=ALL_AT_ONCE, seconds=6.0)
+    with_room = play_day(replace(day, descriptors=8 * day.descriptors, clients=day.client_count))
+    report = play_day(day)
+    check_descriptors(report)
+    assert report.refused_fraction() < with_room.refused_fraction() + MAX_REFUSED_FRACTION, report.text()
