Let idle connections to nodes give way to clients of serve too

Found on the related paths, not seen by an operator.

Cause: the object API's server and the pools knew nothing of each other; an accept without a descriptor only waited, and idle connections to nodes stay for as long as they are used now and then.

The fix: one gate for the object API, the pools and the list service, with the limit that the system sets for the process (RLIMIT_NOFILE). The connections for replicas, the map and other gateways are still outside of it; for them, and for the files that serve writes, the reserve is meant.

--- a/fawnspool/api/objects.py
+++ b/fawnspool/api/objects.py
@@ -83,6 +83,7 @@
                 read_timeout_s=clients.request_timeout,
                 max_connections=clients.connections,
                 max_starts_per_iteration=clients.turn or None,
+                descriptors=gateway.pools.descriptors,
             ),
             ServerCallbacks(
                 on_error=self._on_error, on_rejected=self._on_rejected, start_deadline=self.reader.start_deadline
--- a/fawnspool/gateway/endpoint_client.py
+++ b/fawnspool/gateway/endpoint_client.py
@@ -12,6 +12,7 @@
 
 from fawnspool.connections.watch_timeouts import WatchTimeouts
 from fawnspool.gateway.watch_client import MalformedUpdateError, PostUpdate, WatchClient
+from fawnspool.net.descriptor_gate import DescriptorGate
 from fawnspool.records.background_writer import BackgroundWriter
 from fawnspool.scheduling import interface
 from fawnspool.telemetry.logs import EventLogger
@@ -79,10 +80,15 @@
     """Turns messages of the list service into `EndpointUpdate` events."""
 
     def __init__(
-        self, config: EndpointClientConfig, post: PostUpdate, log: EventLogger, writer: BackgroundWriter
+        self,
+        config: EndpointClientConfig,
+        post: PostUpdate,
+        log: EventLogger,
+        writer: BackgroundWriter,
+        descriptors: DescriptorGate | None = None,
     ) -> None:
         timeouts = WatchTimeouts(silence_s=_SILENCE_CALL_TIMEOUTS * config.call_timeout_s, call_s=config.call_timeout_s)
-        super().__init__(config.address, timeouts, post, log)
+        super().__init__(config.address, timeouts, post, log, descriptors)
         self.config = config
         self.writer = writer
         self.nodes: dict[int, ListedEndpoint] = {}
--- a/fawnspool/gateway/gateway.py
+++ b/fawnspool/gateway/gateway.py
@@ -36,6 +36,7 @@
 from fawnspool.gateway.peer_channel import FleetPlace
 from fawnspool.gateway.peers import PeerSocket
 from fawnspool.gateway.periodic_checks import Check
+from fawnspool.gateway.process_descriptors import process_descriptor_gate
 from fawnspool.gateway.request_state import ClientRequest, NodeAttempt, RequestBody
 from fawnspool.gateway.role_context import GatewayView, RoleContext
 from fawnspool.gossip.health_evidence import suspected_nodes
@@ -150,6 +151,7 @@
                 self._make_traces(),
             ),
         )
+        self.limit_descriptors(process_descriptor_gate(settings.shard_count))
         self.endpoints = self._make_endpoints(records)
         self.endpoints.wait_until_handled = self.loop.wait_until_handled
         self.extent_directory = self._make_extent_directory(source)
@@ -183,7 +185,7 @@
         )
         if records is not None:
             return StaticEndpointClient(config, records, self.loop.post, self.log, self.file_writer)
-        return EndpointClient(config, self.loop.post, self.log, self.file_writer)
+        return EndpointClient(config, self.loop.post, self.log, self.file_writer, self.pools.descriptors)
 
     def _make_extent_directory(self, source: MapSource | None) -> ExtentDirectory:
         head = self.config.head
--- a/tests/e2e/test_objects.py
+++ b/tests/e2e/test_objects.py
@@ -6,8 +6,10 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator
+import errno
+from collections.abc import Callable, Iterator
 from pathlib import Path
+from typing import Any
 
 import pytest
 
@@ -151,3 +153,33 @@
     assert client.answer().status == 408
     client.sock.settimeout(5)
     assert client.sock.recv(1) == b"" and not rig.head.pending
+
+
+class ScarceListener:
+    """A listener whose accepts fail for want of a descriptor while `is_scarce` says so."""
+
+    def __init__(self, sock: Any, is_scarce: Callable[[], bool]) -> None:
+        self.sock, self.is_scarce = sock, is_scarce
+
+    def accept(self) -> Any:
+        if self.is_scarce():
+            raise OSError(errno.EMFILE, "Too many open files")
+        return self.sock.accept()
+
+    def __getattr__(self, name: str) -> Any:
+        return getattr(self.sock, name)
+
+
+def test_idle_connections_to_nodes_give_way_to_clients_of_the_object_api(tmp_path: Path) -> None:
+    """Guards against clients that get no answer while idle connections to nodes hold all descriptors of `serve`."""
+    rig = Rig(tmp_path)
+    try:
+        first = rig.client()
+        assert first.ask("PUT", "/v1/volumes/v/objects/k", b"x").status in (200, 201)
+        account = rig.head.pools.descriptors.account
+        assert account.idle_nodes
+        rig.api.server.sock = ScarceListener(rig.api.server.sock, lambda: bool(account.idle_nodes))
+        rig.client()  # accepted by the call in progress
+        assert rig.client().ask("GET", "/v1/volumes/v/objects/k").data == b"x"
+    finally:
+        rig.stop()
