Give a service its descriptor while requests wait for theirs

While a request waited for a descriptor, a new watch of the endpoint list would have been refused, and the list kept for as long as requests waited.

Cause: the gate let nobody take while its queue was not empty, to keep requests in order; services don't draw on the same share.

Evidence: test_service_connects_whatever_the_connections_to_nodes_hold, now with a request that waits, failed with NoDescriptorError.

The fix: only requests for nodes queue behind others.

Measured: the tests of the gate pass.

--- a/fawnspool/net/descriptor_gate.py
+++ b/fawnspool/net/descriptor_gate.py
@@ -76,9 +76,11 @@
         NoDescriptorError
             None could be had.
         """
-        if not self._waiting and self.try_take(use):
+        is_node = use is DescriptorUse.NODE
+        must_queue = is_node and bool(self._waiting)
+        if not must_queue and self.try_take(use):
             return
-        if use is DescriptorUse.NODE and self._wait(wait_until):
+        if is_node and self._wait(wait_until):
             return
         self.refused += 1
         raise NoDescriptorError
--- a/tests/test_descriptor_gate.py
+++ b/tests/test_descriptor_gate.py
@@ -151,13 +151,17 @@
 
 
 def test_service_connects_whatever_the_connections_to_nodes_hold(nodes: list[Server]) -> None:
+    """Guards against a watch of the endpoint list that is refused while requests wait for a descriptor."""
     gate = gate_of(0, 2, services=1)
     pools = pools_of(nodes[:3], gate)
     for pool in pools[:2]:
         pool.acquire(soon())
+    waiting = gevent.spawn(pools[2].acquire, soon())
+    wait_for(lambda: gate.account.waiting_nodes)
     (service,) = pools_of(nodes[3:], gate, SERVICE_OPTIONS)
     service.discard(service.acquire(soon()))
-    assert gate.account.services == 0 and gate.account.nodes == 2
+    assert gate.account.services == 0 and gate.account.nodes == 2 and gate.account.waiting_nodes == 1
+    waiting.kill()
 
 
 @pytest.fixture
