Ask for a spare connection's descriptor when it is opened

The account was asked when the spare was planned, in another greenlet: a request that came in between could take the last free descriptor, and the spare then closed another's idle connection, which the account's rule excludes.

Found by reading; no run showed it. test_no_spare_connection_is_opened_while_descriptors_are_short and the tests of the pools pass.

--- a/fawnspool/net/connection_pool.py
+++ b/fawnspool/net/connection_pool.py
@@ -153,14 +153,13 @@
         """Open a spare connection in the background, unless one is being opened or a limit on spares is reached."""
         if self._is_opening_spare or self.open_count >= self.options.max_with_spares:
             return
-        if not self.descriptors.account.may_open_spare():
-            return
         self._is_opening_spare = True
         gevent.spawn(self._open_spare)
 
     def _open_spare(self) -> None:
         try:
-            self.release(self._open(time.monotonic() + self.options.connect_timeout_s))
+            if self.descriptors.account.may_open_spare():
+                self.release(self._open(time.monotonic() + self.options.connect_timeout_s))
         except ConnectError:
             pass  # no request waits for the spare connection
         finally:
