Give the rig's gateways ports that the system gives to no other socket

Cause: the rig took a port of the system's choice and gave it up before the gateway listened on it; with several rigs at once another socket got it, and the gateway ended with "can't listen: Address already in use".

The change: ports below the range that the system chooses from, tried before; a rig is ready only if its own process lives. No check of a test is changed.

--- a/tests/e2e/overload_rig.py
+++ b/tests/e2e/overload_rig.py
@@ -20,6 +20,7 @@
 from dataclasses import dataclass, field
 from functools import partial
 from pathlib import Path
+from random import Random
 from typing import Any
 
 import gevent
@@ -40,6 +41,7 @@
 READ_DEADLINE_S = 2.0
 ALLOWANCE_S = 0.5  # a final answer that comes later than this after the request's time, or never, is lost
 READY_WITHIN_S = 30.0
+PORTS = range(10_000, 32_000)  # below those that the system chooses from (ip(7), ip_local_port_range)
 MEMORY_LOOK_S = 0.005
 SOUND_CLIENTS = 8
 SOUND_PAUSE_S = 0.1
@@ -70,6 +72,16 @@
     return SETTINGS | {"classes": classes, "family_info": family}
 
 
+def _free_address() -> tuple[str, int]:
+    """Return an address on which nobody listens, with a port that the system gives to no other socket meanwhile."""
+    random = Random()
+    while True:
+        address = ("127.0.0.1", random.choice(PORTS))
+        with contextlib.suppress(OSError), socket.socket() as sock:
+            sock.bind(address)
+            return address
+
+
 class GatewayProcess:
     """The gateway's process; `peak_mib` is the most resident memory that it was seen with."""
 
@@ -85,9 +97,7 @@
         self.limits = limits
         self.peak_mib = 0.0
         self.killed_for_memory = False
-        with socket.socket() as free_port:
-            free_port.bind(("127.0.0.1", 0))
-            self.address: tuple[str, int] = free_port.getsockname()
+        self.address = _free_address()
         config = {
             "name": "n0",
             "listen": "{}:{}".format(*self.address),
@@ -115,7 +125,7 @@
         while time.monotonic() < ends_at and self.process.poll() is None:
             with contextlib.suppress(OSError), socket.create_connection(self.address, timeout=1) as sock:
                 sock.sendall(b"GET /_health HTTP/1.1\r\nHost: h\r\n\r\n")
-                if sock.recv(4096).startswith(b"HTTP/1.1 200"):
+                if sock.recv(4096).startswith(b"HTTP/1.1 200") and self.process.poll() is None:
                     self._watcher.start()
                     return
             gevent.sleep(0.02)
