Look again whether the listener has closed before the acceptor goes on

What callers saw: nothing; the log of a gateway that was told to end had a traceback, "file descriptor cannot be a negative integer", as the acceptor's greenlet ended with it.

Cause: the acceptor lets others run after 16 accepts. A shutdown that closed the listener in that turn was noticed only by the accept's OSError; the look for a queued connection, which comes before it since, raises ValueError.

The fix: after the pause the acceptor looks again whether the listener is open.

test_listener_that_closes_while_its_acceptor_lets_others_run closes it in that turn and failed before (ValueError).

--- a/fawnspool/connections/descriptor_limits.py
+++ b/fawnspool/connections/descriptor_limits.py
@@ -28,7 +28,7 @@
         Connections to one node.
     crowded_from
         Number of open client connections from which each response ends its connection, see `is_crowded`.
-    per_node_with_spares
+    max_with_spares_per_node
         Number of connections to one node up to which spare ones are opened before a request needs them; all nodes
         together leave `MIN_CONNECTIONS` each to requests that arrive at the same time.
     shares
@@ -38,7 +38,7 @@
     clients: int
     per_node: int
     crowded_from: int
-    per_node_with_spares: int
+    max_with_spares_per_node: int
     shares: DescriptorShares
 
 
@@ -54,7 +54,7 @@
         clients=clients,
         per_node=max(MIN_CONNECTIONS, sure_nodes // _ONE_NODE_DIVISOR),
         crowded_from=max(_MIN_CROWDED_FROM, descriptors // _CROWDED_DIVISOR),
-        per_node_with_spares=max(0, spares_per_node),
+        max_with_spares_per_node=max(0, spares_per_node),
         shares=DescriptorShares(sure_clients, sure_nodes, _SERVICE_DESCRIPTORS),
     )
 
--- a/fawnspool/net/server.py
+++ b/fawnspool/net/server.py
@@ -132,6 +132,7 @@
             accepts += 1
             if accepts % _ACCEPTS_PER_ITERATION == 0:
                 gevent.sleep(0)  # a flood of new connections must not delay the established ones
+                continue  # the listener may have been closed meanwhile
             try:
                 if self.options.untrusted_clients and not self._await_client():
                     continue
--- a/fawnspool/relay/process.py
+++ b/fawnspool/relay/process.py
@@ -83,7 +83,7 @@
                 NODE_IDLE_FRACTION * config.node_idle_timeout_s,
                 lenient=True,
                 cooldown_s=NODE_COOLDOWN_S,
-                max_with_spares=connection_limits.per_node_with_spares,
+                max_with_spares=connection_limits.max_with_spares_per_node,
             ),
             Observability(self.counters, self.log),
         )
--- a/tests/e2e/test_crossings.py
+++ b/tests/e2e/test_crossings.py
@@ -29,6 +29,7 @@
 from fawnspool.gateway.json_splitter import ObjectSplitter
 from fawnspool.net import connection_pool
 from fawnspool.net import server as net_server
+from fawnspool.net.server_options import ServerOptions
 from fawnspool.net.socket_stream import SocketStream
 from fawnspool.relay.discovery import HEARTBEAT_S
 from fawnspool.relay.process import read_config
@@ -1013,3 +1014,17 @@
     rig.program.reload()
     assert rig.program.config.discovery == rig.discovery.server.address
     assert rig.client().ask("GET", "/read", **headers("r1")).status == 200
+
+
+def test_listener_that_closes_while_its_acceptor_lets_others_run(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against an acceptor that ends with an error in the log, as a shutdown closed its listener meanwhile."""
+    server = net_server.Server(("127.0.0.1", 0), lambda exchange: None, ServerOptions(untrusted_clients=True))
+    server.start()
+    clients = [plain_sock(server.address) for _ in range(net_server._ACCEPTS_PER_ITERATION)]
+    acceptor = server._acceptor
+    monkeypatch.setattr(gevent, "sleep", lambda seconds: server.close_listener())
+    acceptor.join(1)
+    monkeypatch.undo()
+    assert acceptor.dead and clients
+    assert acceptor.exception is None
+    server.stop()
--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -27,7 +27,7 @@
     limits = divide_descriptors(descriptors, shards)
     assert limits.shares.clients + limits.shares.nodes + RESERVED_DESCRIPTORS <= descriptors
     assert limits.clients + limits.per_node + RESERVED_DESCRIPTORS <= descriptors and limits.per_node >= 4
-    assert limits.per_node_with_spares * shards <= limits.shares.nodes and limits.clients >= limits.shares.clients
+    assert limits.max_with_spares_per_node * shards <= limits.shares.nodes and limits.clients >= limits.shares.clients
     assert limits.clients >= descriptors // 3 or descriptors < 3 * RESERVED_DESCRIPTORS + 64
     assert limits.crowded_from < descriptors / 3 and limits.crowded_from <= limits.clients
 
